--- /dev/null
+++ b/quillstep/__init__.py
@@ -0,0 +1,1 @@
+"""quillstep: a central planner behind a layer of plain proxies."""
--- /dev/null
+++ b/quillstep/rules.py
@@ -0,0 +1,351 @@
+"""The decisions of quillstep: which endpoints the proxies use, in what parts, and what they let in.
+
+Call: `Planner(facts, seed)` at each start, then `planner.round(incoming, orders)` once for all that came in.
+The interface (facts, incoming, orders) is in quillstep/interface.py; times are milliseconds, ids as given.
+
+The design (docs/design.md): a Q for each endpoint learns from a load-derived payoff each turn; Q x listed
+weight, normalised, is rounded into the slots of one calendar that all joined proxies share; changes are
+gathered and sent as differences, drains and deaths first; a just-started endpoint's part is capped.
+Beside it stand these mechanisms, six at most:
+  1. health         an endpoint is shut out where the sums suggest it and probes confirm it
+  2. last line      no table loses its last usable line, so that no proxy is ever bare
+  3. levels         under overload less is let in, least credit per work first
+  4. further tries  follow what a class allows, and there are fewer of them under overload
+  5. order budget   lines and messages are counted; drains and joins go before ordinary changes
+  6. starting over  every start begins clean, asks for the list and binds each proxy as it joins
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+from statistics import median
+
+from quillstep.interface import Incoming, Orders, StartFacts
+
+ALPHA, GAMMA = 0.3, 0.1  # the update's learning and discount rate
+TURN_MS = 1000.0  # the design's turn, and the window over which changes are gathered
+SLOTS = 10  # calendar slots for each listed endpoint
+RESEND = 0.1  # a slot count is sent again after moving by more than this part of what was sent
+SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
+TURN, URGENT = 1, 2  # wake tokens
+OPEN_RATE = 1e6  # a rate level that lets all in
+SICK = 0.5  # a failing part that makes an endpoint suspect
+OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """All that is known of one listed endpoint."""
+
+    zone: str
+    ready: bool
+    listed: float
+    started_ms: float
+    q: float | None = None  # None until first heard
+    load: float | None = None  # the newest figure since the last turn
+    tries: int = 0  # since the last turn
+    failed: int = 0
+    good_ms: float = 0.0  # summed time of the good ones
+    failing: float = 0.0  # smoothed part of tries without a good answer
+    learnt_ms: float | None = None
+    busy: float | None = None  # smoothed load
+    bad_probes: int = 0  # in a row
+    good_probes: int = 0
+    out: bool = False
+    sent: dict[int, int] = field(default_factory=dict)  # slots by table, as ordered
+
+
+@dataclass(slots=True)
+class Proxy:
+    """A joined proxy: its zone, and what reaches it of each class, exchanges a second."""
+
+    zone: str
+    arrives: list[float]
+    bound: bool = False
+
+
+@dataclass(slots=True)
+class ClassLevel:
+    """A row of the class table: what orders go by, and what was ordered last."""
+
+    tries: int
+    calm_tries: int
+    credit_per_work: float
+    level: float
+    sent: dict[int, tuple[float, int]] = field(default_factory=dict)  # level and tries by table
+
+
+class Planner:
+    """Decides for one pilot from a start to the next."""
+
+    def __init__(self, facts: StartFacts, seed: int) -> None:
+        self.facts = facts
+        self.draw = Random(seed).random
+        self.endpoints: dict[int, Endpoint] = {}
+        self.proxies: dict[int, Proxy] = {}
+        self.zones: list[str] = []
+        self.classes = [self.class_row(row) for row in facts.classes]
+        self.fit = 1.0  # the part of the offered work that is let in
+        self.turn_ms: float | None = None
+        self.pushed_ms = float("-inf")
+        self.counted_ms = 0.0
+        self.waiting = 0.0  # lines that may still wait in the channel
+        self.urgent = False
+        self.wake_ms = float("-inf")
+
+    def class_row(self, row) -> ClassLevel:
+        calm = 1
+        if row.semantics == "safe":
+            calm = 2
+        return ClassLevel(self.facts.base_mode, calm, row.credit / max(row.agreed_ms, 1.0), 1.0)
+
+    def round(self, incoming: Incoming, orders: Orders) -> None:
+        """Take in what came and write what follows from it."""
+        if self.facts.slices:
+            return  # sites with slices are not decided here
+        now = incoming.now_ms
+        if self.turn_ms is None:
+            self.turn_ms = now + TURN_MS * self.draw()
+            orders.wake(TURN, self.turn_ms)
+            if self.facts.list_on_request:
+                orders.watch_list()
+        for kind, entries in incoming.lists:
+            self.take_list(kind, entries, now, orders)
+        for proxy, joined, zone, usual in incoming.streams:
+            self.take_stream(proxy, joined, zone, usual)
+        self.take_reports(incoming)
+        due = now >= self.turn_ms
+        if due:
+            self.learn(now)
+            self.judge(now, orders)
+            self.set_levels()
+            self.turn_ms = now + TURN_MS
+            orders.wake(TURN, self.turn_ms)
+        self.push(now, due, orders)
+        self.bind(orders)
+
+    # what came in
+
+    def take_list(self, kind: str, entries: list[tuple], now: float, orders: Orders) -> None:
+        if kind == "error":
+            orders.watch_list()
+            return
+        if kind != "partial":
+            named = {entry[0] for entry in entries}
+            for endpoint, record in self.endpoints.items():
+                if endpoint not in named and record.ready:
+                    record.ready, self.urgent = False, True
+        for endpoint, zone, state, listed, started_ms in entries:
+            record = self.endpoints.get(endpoint)
+            if zone not in self.zones:
+                self.zones.append(zone)
+            if record is None or started_ms > record.started_ms:
+                sent = record.sent if record else {}
+                record = Endpoint(zone, False, listed, started_ms, sent=sent)
+                self.endpoints[endpoint] = record
+                self.urgent = True
+            ready = state == "in_service"
+            self.urgent |= ready != record.ready
+            record.ready, record.listed = ready, listed
+
+    def take_stream(self, proxy: int, joined: bool, zone: str, usual: float) -> None:
+        self.proxies.pop(proxy, None)
+        if joined:
+            if zone not in self.zones:
+                self.zones.append(zone)
+            each = usual / max(1, len(self.classes))
+            self.proxies[proxy] = Proxy(zone, [each] * len(self.classes))
+
+    def take_reports(self, incoming: Incoming) -> None:
+        for endpoint, tries, failed, mean_ms, _, report in incoming.sums:
+            record = self.endpoints.get(endpoint)
+            if record is None:
+                continue
+            record.tries += tries
+            record.failed += failed
+            record.good_ms += mean_ms * (tries - failed)
+            record.load = report.get("util", record.load)
+        for endpoint, answered, _, report in incoming.probes:
+            record = self.endpoints.get(endpoint)
+            if record is None:
+                continue
+            record.load = report.get("util", record.load)
+            record.bad_probes = 0 if answered else record.bad_probes + 1
+            record.good_probes = record.good_probes + 1 if answered else 0
+        for place, proxy, arrived, _, covers_ms in incoming.arrivals:
+            record = self.proxies.get(proxy)
+            if record and covers_ms > 0:
+                record.arrives[place] += ALPHA * (arrived * 1000.0 / covers_ms - record.arrives[place])
+
+    # the design
+
+    def learn(self, now: float) -> None:
+        """Q <- Q + alpha (R + gamma - Q), once for each figure, by its age."""
+        for record in self.endpoints.values():
+            failing = record.failed / record.tries if record.tries else 0.0
+            if record.tries:
+                record.failing += ALPHA * (failing - record.failing)
+            if record.load is not None:
+                load = min(1.0, max(0.0, record.load))
+                record.busy = load if record.busy is None else record.busy + 0.5 * (load - record.busy)
+                payoff = (1.0 - load) * (1.0 - failing)
+                if record.q is None:
+                    record.q = self.mean_q()
+                turns = 1.0 if record.learnt_ms is None else min(2.0, (now - record.learnt_ms) / TURN_MS)
+                record.q += (1.0 - (1.0 - ALPHA) ** turns) * (payoff + GAMMA - record.q)
+                record.learnt_ms = now
+            record.load, record.tries, record.failed, record.good_ms = None, 0, 0, 0.0
+
+    def mean_q(self) -> float:
+        heard = [record.q for record in self.endpoints.values() if record.q is not None and record.ready]
+        return sum(heard) / len(heard) if heard else 1.0
+
+    def capacity(self, record: Endpoint, now: float) -> float:
+        """The part of its capacity that an endpoint surely has, by its age."""
+        if not record.started_ms or not self.facts.warm_after_ms:
+            return 1.0
+        return min(1.0, 0.1 + 0.9 * max(0.0, now - record.started_ms) / 30000.0)
+
+    def weights(self, now: float, zone: str | None) -> dict[int, float]:
+        """Q x listed weight for each usable endpoint, cold ones capped at their part of the mean."""
+        ready = {e: r for e, r in self.endpoints.items() if r.ready and (zone is None or r.zone == zone)}
+        usable = {e: r for e, r in ready.items() if not r.out} or ready
+        mean_q = self.mean_q()
+        weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
+        warm = [weights[e] for e, r in usable.items() if self.capacity(r, now) >= 1.0]
+        mean = sum(warm) / len(warm) if warm else sum(weights.values()) / max(1, len(weights))
+        return {e: min(w, mean * c) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
+
+    def slots(self, now: float, zone: str | None) -> dict[int, int]:
+        weights = self.weights(now, zone)
+        total = sum(weights.values()) or 1.0
+        return {e: max(1, round(SLOTS * len(weights) * w / total)) for e, w in weights.items()}
+
+    # beside the design
+
+    def judge(self, now: float, orders: Orders) -> None:
+        """Shut out what fails far more than its fellows and fails its probes; ask the probes due."""
+        ready = {e: r for e, r in self.endpoints.items() if r.ready}
+        if not ready:
+            return
+        usual = median(record.failing for record in ready.values())
+        room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
+        for endpoint, record in ready.items():
+            suspect = record.failing > max(SICK, 2.0 * usual)
+            if record.out and record.good_probes >= 2:
+                record.out, record.failing, record.q, self.urgent = False, 0.0, self.mean_q() * 0.1, True
+            elif not record.out and suspect and record.bad_probes >= 2 and room > 99:
+                record.out, record.good_probes, self.urgent = True, 0, True
+                room -= 1
+                orders.note(f"{endpoint} is shut out: {record.failing:.2f} of its tries fail")
+            if self.facts.may_probe and (self.facts.load_by_probe or record.out or suspect):
+                orders.probe(endpoint)
+
+    def set_levels(self) -> None:
+        """Move the part of the work that is let in, and share it out over classes and proxies."""
+        busy = [record.busy for record in self.endpoints.values() if record.ready and record.busy is not None]
+        pressure = sum(busy) / len(busy) if busy else 0.0
+        if pressure > 9:
+            self.fit = 1.0
+        elif pressure < 0.8:
+            self.fit = min(1.0, self.fit * 1.05)
+        loads = [
+            sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
+            for place, facts in enumerate(self.facts.classes)
+        ]
+        excess = (1.0 - self.fit) * sum(loads)
+        for place in sorted(range(len(loads)), key=lambda at: self.classes[at].credit_per_work):
+            cut = min(excess, 0.9 * loads[place])
+            excess -= cut
+            row = self.classes[place]
+            part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
+            row.tries = self.facts.base_mode
+            row.level = self.level(place, part)
+
+    def level(self, place: int, part: float) -> float:
+        """A part of a class as the wire wants it: a share, or one rate for all proxies that fits in sum."""
+        if self.facts.admission != "rate":
+            return part
+        if part >= 1.0:
+            return OPEN_RATE
+        left = part * sum(proxy.arrives[place] for proxy in self.proxies.values())
+        rates = sorted(proxy.arrives[place] for proxy in self.proxies.values())
+        for at, rate in enumerate(rates):
+            if rate * (len(rates) - at) >= left:
+                return left / (len(rates) - at)
+            left -= rate
+        return OPEN_RATE
+
+    def tables(self) -> list[tuple[int, str | None, list[int]]]:
+        """The tables in use: number, zone, classes.  Home-only classes need one a zone."""
+        homes = [place for place, row in enumerate(self.facts.classes) if row.home_only]
+        shared = [place for place in range(len(self.classes)) if place not in homes]
+        tables: list[tuple[int, str | None, list[int]]] = [(SHARED, None, shared)] if shared else []
+        if homes:
+            tables += [(1 + at, zone, homes) for at, zone in enumerate(self.zones)]
+        return tables
+
+    def push(self, now: float, due: bool, orders: Orders) -> None:
+        """Send the differences: at the turn, or sooner where an endpoint drained, died or restarted."""
+        rate = self.facts.channel_rate / 1000.0
+        self.waiting = max(0.0, self.waiting - rate * (now - self.counted_ms) * 0.5)
+        self.counted_ms = now
+        most, over = self.facts.messages_most, self.facts.messages_over_ms
+        gap = over / most * 1.2 if most else 0.0
+        if not (due or self.urgent):
+            return
+        if now < self.pushed_ms + gap:
+            if self.wake_ms < now:
+                self.wake_ms = self.pushed_ms + gap
+                orders.wake(URGENT, self.wake_ms)
+            return
+        crowded = self.waiting > self.facts.lines_waiting_most * 0.5
+        lines = 0
+        for table, zone, classes in self.tables():
+            users = sum(1 for p in self.proxies.values() if p.bound and zone in (None, p.zone))
+            lines += users * self.send_table(now, table, zone, crowded and not self.urgent, orders)
+            lines += users * self.send_levels(table, classes, crowded, orders)
+        if lines:
+            self.pushed_ms = now
+            self.waiting += lines + self.facts.lines_per_message * len(self.proxies)
+        self.urgent = False
+
+    def send_table(self, now: float, table: int, zone: str | None, only_gone: bool, orders: Orders) -> int:
+        slots = self.slots(now, zone)
+        lines = 0
+        for endpoint, record in self.endpoints.items():
+            before, wanted = record.sent.get(table, 0), slots.get(endpoint, 0)
+            if not wanted and before:
+                orders.line(table, endpoint, 0)
+                del record.sent[table]
+                lines += 1
+        for endpoint, wanted in slots.items():
+            before = self.endpoints[endpoint].sent.get(table, 0)
+            if abs(wanted - before) > RESEND * before and not (only_gone and before):
+                orders.line(table, endpoint, wanted)
+                self.endpoints[endpoint].sent[table] = wanted
+                lines += 1
+        return lines
+
+    def send_levels(self, table: int, classes: list[int], crowded: bool, orders: Orders) -> int:
+        lines = 0
+        for place in classes:
+            row = self.classes[place]
+            level, tries = row.sent.get(table, (0.0, -1))
+            if tries >= 0 and (crowded or (row.tries == tries and abs(row.level - level) <= RESEND * level)):
+                continue
+            orders.level(table, [place], row.level, row.tries)
+            row.sent[table] = (row.level, row.tries)
+            lines += 1
+        return lines
+
+    def bind(self, orders: Orders) -> None:
+        for number, proxy in self.proxies.items():
+            if proxy.bound:
+                continue
+            proxy.bound = True
+            for table, zone, classes in self.tables():
+                if zone in (None, proxy.zone):
+                    orders.bind(number, table, classes)
+                    held = sum(1 for r in self.endpoints.values() if table in r.sent)
+                    self.waiting += 1 + held + len(classes)
+            self.waiting += self.facts.lines_per_message
--- /dev/null
+++ b/quillstep/wirehost/orders.py
@@ -0,0 +1,43 @@
+"""Writes one instance's orders as lines of the wire."""
+
+from collections.abc import Iterable
+
+
+def _bits(classes: Iterable[int]) -> int:
+    return sum(1 << place for place in classes)
+
+
+class WireOrders:
+    """The `Orders` of the interface for one instance, written to a list of reply lines."""
+
+    def __init__(self, instance: str, lines: list[str]) -> None:
+        self._instance = instance
+        self._lines = lines
+
+    def _write(self, name: str, rest: str = "") -> None:
+        self._lines.append(f"{name} i={self._instance}{rest}")
+
+    def line(self, table: int, endpoint: int, weight: float) -> None:
+        self._write("set_line", f" mapId={table} endpoint={endpoint} part={weight:g}")
+
+    def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
+        self._write("install", f" agent={proxy} mapId={table} classBits={_bits(classes)}")
+
+    def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
+        bits = _bits(classes)
+        self._write("set_level", f" mapId={table} classBits={bits} allowance={allowed:.10g} secondTry={tries}")
+
+    def probe(self, endpoint: int) -> None:
+        self._write("health_check", f" endpoint={endpoint}")
+
+    def watch_list(self) -> None:
+        self._write("track", " active=1")
+
+    def wake(self, token: int, at_ms: float) -> None:
+        self._write("sleep", f" cookie={token} at={round(at_ms * 1000)}")
+
+    def note(self, text: str) -> None:
+        self._write("trace", f" line={text}")
+
+    def broken(self, text: str) -> None:
+        self._write("broken", f" line={' '.join(text.split())}")
