--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -96,7 +96,7 @@
         calm = 1
         if row.semantics == "safe":
             calm = 2
-        return ClassLevel(self.facts.base_mode, calm, row.credit / max(row.agreed_ms, 1.0), 1.0)
+        return ClassLevel(1, calm, row.credit / max(row.agreed_ms, 1.0), 1.0)
 
     def round(self, incoming: Incoming, orders: Orders) -> None:
         """Take in what came and write what follows from it."""
@@ -203,7 +203,8 @@
         """The part of its capacity that an endpoint surely has, by its age."""
         if not record.started_ms or not self.facts.warm_after_ms:
             return 1.0
-        return min(1.0, 0.1 + 0.9 * max(0.0, now - record.started_ms) / 30000.0)
+        low = self.facts.start_capacity
+        return min(1.0, low + (1.0 - low) * max(0.0, now - record.started_ms) / self.facts.warm_after_ms)
 
     def weights(self, now: float, zone: str | None) -> dict[int, float]:
         """Q x listed weight for each usable endpoint, cold ones capped at their part of the mean."""
@@ -233,7 +234,7 @@
             suspect = record.failing > max(SICK, 2.0 * usual)
             if record.out and record.good_probes >= 2:
                 record.out, record.failing, record.q, self.urgent = False, 0.0, self.mean_q() * 0.1, True
-            elif not record.out and suspect and record.bad_probes >= 2 and room > 99:
+            elif not record.out and suspect and record.bad_probes >= 2 and room > 0:
                 record.out, record.good_probes, self.urgent = True, 0, True
                 room -= 1
                 orders.note(f"{endpoint} is shut out: {record.failing:.2f} of its tries fail")
@@ -244,8 +245,8 @@
         """Move the part of the work that is let in, and share it out over classes and proxies."""
         busy = [record.busy for record in self.endpoints.values() if record.ready and record.busy is not None]
         pressure = sum(busy) / len(busy) if busy else 0.0
-        if pressure > 9:
-            self.fit = 1.0
+        if pressure > 0.9:
+            self.fit = max(0.2, self.fit * 0.85)
         elif pressure < 0.8:
             self.fit = min(1.0, self.fit * 1.05)
         loads = [
@@ -258,7 +259,7 @@
             excess -= cut
             row = self.classes[place]
             part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
-            row.tries = self.facts.base_mode
+            row.tries = 1 if pressure > 0.8 else row.calm_tries
             row.level = self.level(place, part)
 
     def level(self, place: int, part: float) -> float:
