--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -48,6 +48,8 @@
     failing: float = 0.0  # smoothed part of tries without a good answer
     learnt_ms: float | None = None
     busy: float | None = None  # smoothed load
+    flow: float = 0.0  # smoothed tries a second of our own proxies
+    able: float | None = None  # tries a second that would fill it, as our own proxies see it
     bad_probes: int = 0  # in a row
     good_probes: int = 0
     out: bool = False
@@ -85,7 +87,9 @@
         self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
+        self.trim = 1.0  # what feedback takes off it
         self.turn_ms: float | None = None
+        self.learnt_ms = 0.0
         self.pushed_ms = float("-inf")
         self.counted_ms = 0.0
         self.waiting = 0.0  # lines that may still wait in the channel
@@ -108,6 +112,7 @@
             orders.wake(TURN, self.turn_ms)
             if self.facts.list_on_request:
                 orders.watch_list()
+            self.learnt_ms = now
         for kind, entries in incoming.lists:
             self.take_list(kind, entries, now, orders)
         for proxy, joined, zone, usual in incoming.streams:
@@ -193,7 +198,13 @@
                 turns = 1.0 if record.learnt_ms is None else min(2.0, (now - record.learnt_ms) / TURN_MS)
                 record.q += (1.0 - (1.0 - ALPHA) ** turns) * (payoff + GAMMA - record.q)
                 record.learnt_ms = now
+            good = record.tries - record.failed if record.busy and record.busy > 0.9 else record.tries
+            record.flow += ALPHA * (1000.0 * good / max(1.0, now - self.learnt_ms) - record.flow)
+            if record.busy and record.flow > 0 and not record.out and self.capacity(record, now) >= 1.0:
+                able = record.flow / max(0.1, record.busy)
+                record.able = able if record.able is None else record.able + 0.2 * (able - record.able)
             record.load, record.tries, record.failed, record.good_ms = None, 0, 0, 0.0
+        self.learnt_ms = now
 
     def mean_q(self) -> float:
         heard = [record.q for record in self.endpoints.values() if record.q is not None and record.ready]
@@ -246,9 +257,14 @@
         busy = [record.busy for record in self.endpoints.values() if record.ready and record.busy is not None]
         pressure = sum(busy) / len(busy) if busy else 0.0
         if pressure > 0.9:
-            self.fit = max(0.2, self.fit * 0.85)
+            self.trim = max(0.2, self.trim * 0.9)
         elif pressure < 0.8:
-            self.fit = min(1.0, self.fit * 1.05)
+            self.trim = min(1.0, self.trim * 1.05)
+        arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
+        able = sum(record.able or 0.0 for record in self.endpoints.values() if record.ready and not record.out)
+        self.fit = min(1.0, self.trim * 0.9 * able / arrives) if able and arrives else 1.0
+        if pressure < 0.7:
+            self.fit = 1.0
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
             for place, facts in enumerate(self.facts.classes)
