Read an unanswered probe as full load and count capacity from completed tries

Cause: full endpoints fell silent to deep probes and kept their last lower load, so levels never acted. Guards against any endpoint too full or stuck to answer; harms where probes alone are cut.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -28,7 +28,7 @@
 SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
-SICK = 0.5  # a failing part that makes an endpoint suspect
+SICK = 0.8  # a failing part that makes an endpoint suspect
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -173,7 +173,9 @@
             record = self.endpoints.get(endpoint)
             if record is None:
                 continue
-            record.load = report.get("util", record.load)
+            # No answer to a probe is read as full: a deep probe waits in the queue like an exchange, and a
+            # full endpoint that falls silent would otherwise keep its last, lower figure.
+            record.load = report.get("util", record.load) if answered else 1.0
             record.bad_probes = 0 if answered else record.bad_probes + 1
             record.good_probes = record.good_probes + 1 if answered else 0
         for place, proxy, arrived, _, covers_ms in incoming.arrivals:
@@ -189,16 +191,18 @@
             failing = record.failed / record.tries if record.tries else 0.0
             if record.tries:
                 record.failing += ALPHA * (failing - record.failing)
+            if record.load is None and failing > 0.5:
+                record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
                 load = min(1.0, max(0.0, record.load))
                 record.busy = load if record.busy is None else record.busy + 0.5 * (load - record.busy)
-                payoff = (1.0 - load) * (1.0 - failing)
+                payoff = (1.0 - load) * (1.0 - failing) ** 2
                 if record.q is None:
                     record.q = self.mean_q()
                 turns = 1.0 if record.learnt_ms is None else min(2.0, (now - record.learnt_ms) / TURN_MS)
                 record.q += (1.0 - (1.0 - ALPHA) ** turns) * (payoff + GAMMA - record.q)
                 record.learnt_ms = now
-            good = record.tries - record.failed if record.busy and record.busy > 0.9 else record.tries
+            good = record.tries - record.failed
             record.flow += ALPHA * (1000.0 * good / max(1.0, now - self.learnt_ms) - record.flow)
             if record.busy and record.flow > 0 and not record.out and self.capacity(record, now) >= 1.0:
                 able = record.flow / max(0.1, record.busy)
@@ -243,6 +247,7 @@
         room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
         for endpoint, record in ready.items():
             suspect = record.failing > max(SICK, 2.0 * usual)
+            # An overloaded endpoint still answers some; one to shut out answers next to none.
             if record.out and record.good_probes >= 2:
                 record.out, record.failing, record.q, self.urgent = False, 0.0, self.mean_q() * 0.1, True
             elif not record.out and suspect and record.bad_probes >= 2 and room > 0:
@@ -262,9 +267,8 @@
             self.trim = min(1.0, self.trim * 1.05)
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
         able = sum(record.able or 0.0 for record in self.endpoints.values() if record.ready and not record.out)
-        self.fit = min(1.0, self.trim * 0.9 * able / arrives) if able and arrives else 1.0
-        if pressure < 0.7:
-            self.fit = 1.0
+        target = self.trim * 0.9 * able / arrives if able and arrives and pressure > 0.75 else 1.0
+        self.fit = min(1.0, target, self.fit * 1.1)
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
             for place, facts in enumerate(self.facts.classes)
