--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -203,10 +203,15 @@
                 record.q += (1.0 - (1.0 - ALPHA) ** turns) * (payoff + GAMMA - record.q)
                 record.learnt_ms = now
             good = record.tries - record.failed
-            record.flow += ALPHA * (1000.0 * good / max(1.0, now - self.learnt_ms) - record.flow)
+            record.flow += 0.5 * (1000.0 * good / max(1.0, now - self.learnt_ms) - record.flow)
             if record.busy and record.flow > 0 and not record.out and self.capacity(record, now) >= 1.0:
                 able = record.flow / max(0.1, record.busy)
-                record.able = able if record.able is None else record.able + 0.2 * (able - record.able)
+                if record.able is None:
+                    record.able = able
+                elif able > record.able or record.failing < 0.3:
+                    record.able += 0.2 * (able - record.able)
+                else:
+                    record.able *= 0.97
             record.load, record.tries, record.failed, record.good_ms = None, 0, 0, 0.0
         self.learnt_ms = now
 
@@ -262,13 +267,13 @@
         busy = [record.busy for record in self.endpoints.values() if record.ready and record.busy is not None]
         pressure = sum(busy) / len(busy) if busy else 0.0
         if pressure > 0.9:
-            self.trim = max(0.2, self.trim * 0.9)
+            self.trim = max(0.5, self.trim * 0.9)
         elif pressure < 0.8:
-            self.trim = min(1.0, self.trim * 1.05)
+            self.trim = min(1.2, self.trim * 1.08)
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
         able = sum(record.able or 0.0 for record in self.endpoints.values() if record.ready and not record.out)
         target = self.trim * 0.9 * able / arrives if able and arrives and pressure > 0.75 else 1.0
-        self.fit = min(1.0, target, self.fit * 1.1)
+        self.fit = min(1.0, target, self.fit * 1.25)
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
             for place, facts in enumerate(self.facts.classes)
