--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -48,8 +48,6 @@
     failing: float = 0.0  # smoothed part of tries without a good answer
     learnt_ms: float | None = None
     busy: float | None = None  # smoothed load
-    flow: float = 0.0  # smoothed tries a second of our own proxies
-    able: float | None = None  # tries a second that would fill it, as our own proxies see it
     bad_probes: int = 0  # in a row
     good_probes: int = 0
     out: bool = False
@@ -87,7 +85,10 @@
         self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
-        self.trim = 1.0  # what feedback takes off it
+        self.allowed: float | None = None  # exchanges a second that our proxies may let in
+        self.flow = 0.0  # their tries a second, smoothed
+        self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
+        self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
         self.turn_ms: float | None = None
         self.learnt_ms = 0.0
         self.pushed_ms = float("-inf")
@@ -120,6 +121,7 @@
         self.take_reports(incoming)
         due = now >= self.turn_ms
         if due:
+            self.measure(now)
             self.learn(now)
             self.judge(now, orders)
             self.set_levels()
@@ -185,6 +187,17 @@
 
     # the design
 
+    def measure(self, now: float) -> None:
+        """What all sums since the last turn say of the whole fleet."""
+        tries = sum(record.tries for record in self.endpoints.values())
+        if tries:
+            arrives = [sum(p.arrives[at] for p in self.proxies.values()) or 1.0 for at in range(len(self.classes))]
+            agreed = sum(a * f.agreed_ms for a, f in zip(arrives, self.facts.classes, strict=True)) / sum(arrives)
+            spent = sum(r.good_ms + r.failed * agreed for r in self.endpoints.values())
+            self.slowness += 0.5 * (spent / tries / agreed - self.slowness)
+        self.flow += 0.5 * (1000.0 * tries / max(1.0, now - self.learnt_ms) - self.flow)
+        self.learnt_ms = now
+
     def learn(self, now: float) -> None:
         """Q <- Q + alpha (R + gamma - Q), once for each figure, by its age."""
         for record in self.endpoints.values():
@@ -202,18 +215,7 @@
                 turns = 1.0 if record.learnt_ms is None else min(2.0, (now - record.learnt_ms) / TURN_MS)
                 record.q += (1.0 - (1.0 - ALPHA) ** turns) * (payoff + GAMMA - record.q)
                 record.learnt_ms = now
-            good = record.tries - record.failed
-            record.flow += 0.5 * (1000.0 * good / max(1.0, now - self.learnt_ms) - record.flow)
-            if record.busy and record.flow > 0 and not record.out and self.capacity(record, now) >= 1.0:
-                able = record.flow / max(0.1, record.busy)
-                if record.able is None:
-                    record.able = able
-                elif able > record.able or record.failing < 0.3:
-                    record.able += 0.2 * (able - record.able)
-                else:
-                    record.able *= 0.97
             record.load, record.tries, record.failed, record.good_ms = None, 0, 0, 0.0
-        self.learnt_ms = now
 
     def mean_q(self) -> float:
         heard = [record.q for record in self.endpoints.values() if record.q is not None and record.ready]
@@ -234,7 +236,7 @@
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         warm = [weights[e] for e, r in usable.items() if self.capacity(r, now) >= 1.0]
         mean = sum(warm) / len(warm) if warm else sum(weights.values()) / max(1, len(weights))
-        return {e: min(w, mean * c) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
+        return {e: min(w, mean * c / max(1.0, self.strain)) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
 
     def slots(self, now: float, zone: str | None) -> dict[int, int]:
         weights = self.weights(now, zone)
@@ -264,16 +266,15 @@
 
     def set_levels(self) -> None:
         """Move the part of the work that is let in, and share it out over classes and proxies."""
-        busy = [record.busy for record in self.endpoints.values() if record.ready and record.busy is not None]
+        busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
         pressure = sum(busy) / len(busy) if busy else 0.0
-        if pressure > 0.9:
-            self.trim = max(0.5, self.trim * 0.9)
-        elif pressure < 0.8:
-            self.trim = min(1.2, self.trim * 1.08)
+        self.strain = pressure * (max(1.0, self.slowness / 0.5) if pressure > 0.8 else 1.0)
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
-        able = sum(record.able or 0.0 for record in self.endpoints.values() if record.ready and not record.out)
-        target = self.trim * 0.9 * able / arrives if able and arrives and pressure > 0.75 else 1.0
-        self.fit = min(1.0, target, self.fit * 1.25)
+        if self.strain > 0.0 and self.flow > 0.0:
+            able = self.flow * 0.85 / self.strain
+            self.allowed = able if self.allowed is None else self.allowed + 0.5 * (able - self.allowed)
+        limited = self.allowed is not None and arrives > 0 and (pressure > 0.7 or self.fit < 1.0)
+        self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
             for place, facts in enumerate(self.facts.classes)
