--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -183,7 +183,7 @@
         for place, proxy, arrived, _, covers_ms in incoming.arrivals:
             record = self.proxies.get(proxy)
             if record and covers_ms > 0:
-                record.arrives[place] += ALPHA * (arrived * 1000.0 / covers_ms - record.arrives[place])
+                record.arrives[place] += 0.5 * (arrived * 1000.0 / covers_ms - record.arrives[place])
 
     # the design
 
@@ -272,7 +272,12 @@
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
         if self.strain > 0.0 and self.flow > 0.0:
             able = self.flow * 0.85 / self.strain
-            self.allowed = able if self.allowed is None else self.allowed + 0.5 * (able - self.allowed)
+            if self.allowed is None:
+                self.allowed = able
+            elif self.strain < 1.0:
+                self.allowed += 0.5 * (able - self.allowed)
+            else:  # tries that full endpoints turn away are no sign of room, however many they are
+                self.allowed = min(self.allowed * max(0.8, self.strain**-0.3), able)
         limited = self.allowed is not None and arrives > 0 and (pressure > 0.7 or self.fit < 1.0)
         self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
@@ -285,7 +290,7 @@
             excess -= cut
             row = self.classes[place]
             part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
-            row.tries = 1 if pressure > 0.8 else row.calm_tries
+            row.tries = row.calm_tries if self.strain < 0.75 else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
     def level(self, place: int, part: float) -> float:
