--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -86,6 +86,7 @@
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
         self.allowed: float | None = None  # exchanges a second that our proxies may let in
+        self.able = 0.0  # what they would let in to fill the fleet, learnt while it is not full
         self.flow = 0.0  # their tries a second, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
         self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
@@ -208,7 +209,7 @@
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
                 load = min(1.0, max(0.0, record.load))
-                record.busy = load if record.busy is None else record.busy + 0.5 * (load - record.busy)
+                record.busy = load if record.busy is None else record.busy + 0.7 * (load - record.busy)
                 payoff = (1.0 - load) * (1.0 - failing) ** 2
                 if record.q is None:
                     record.q = self.mean_q()
@@ -277,7 +278,9 @@
             elif self.strain < 1.0:
                 self.allowed += 0.5 * (able - self.allowed)
             else:  # tries that full endpoints turn away are no sign of room, however many they are
-                self.allowed = min(self.allowed * max(0.8, self.strain**-0.3), able)
+                self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), 0.4 * self.able)
+            if self.strain < 0.9:
+                self.able += 0.2 * (self.flow / self.strain - self.able)
         limited = self.allowed is not None and arrives > 0 and (pressure > 0.7 or self.fit < 1.0)
         self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
