--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -21,7 +21,7 @@
 
 from quillstep.interface import Incoming, Orders, StartFacts
 
-ALPHA, GAMMA = 0.3, 0.1  # the update's learning and discount rate
+ALPHA, GAMMA = 0.1, 0.1  # the update's learning and discount rate
 TURN_MS = 1000.0  # the design's turn, and the window over which changes are gathered
 SLOTS = 10  # calendar slots for each listed endpoint
 RESEND = 0.1  # a slot count is sent again after moving by more than this part of what was sent
@@ -204,7 +204,7 @@
         for record in self.endpoints.values():
             failing = record.failed / record.tries if record.tries else 0.0
             if record.tries:
-                record.failing += ALPHA * (failing - record.failing)
+                record.failing += 0.3 * (failing - record.failing)
             if record.load is None and failing > 0.5:
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
