--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -86,6 +86,8 @@
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
         self.allowed: float | None = None  # exchanges a second that our proxies may let in
+        self.pressure = 0.0  # mean load of the endpoints in use
+        self.had = 0.0  # the listed capacity in reach at the last look
         self.able = 0.0  # what they would let in to fill the fleet, learnt while it is not full
         self.flow = 0.0  # their tries a second, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
@@ -125,7 +127,10 @@
             self.measure(now)
             self.learn(now)
             self.judge(now, orders)
-            self.set_levels()
+        if due or self.urgent:
+            self.follow_losses(now)
+            self.set_levels(due)
+        if due:
             self.turn_ms = now + TURN_MS
             orders.wake(TURN, self.turn_ms)
         self.push(now, due, orders)
@@ -265,23 +270,31 @@
             if self.facts.may_probe and (self.facts.load_by_probe or record.out or suspect):
                 orders.probe(endpoint)
 
-    def set_levels(self) -> None:
+    def usable(self, now: float) -> float:
+        """The listed capacity in reach, cold endpoints by what they surely have."""
+        return sum((r.listed or 1.0) * self.capacity(r, now) for r in self.endpoints.values() if r.ready and not r.out)
+
+    def follow_losses(self, now: float) -> None:
+        """Scale what may be let in as endpoints go and come, before the load on the others shows it."""
+        usable = self.usable(now)
+        if usable and self.had:
+            change = usable / self.had
+            self.able *= change
+            self.pressure = min(1.0, self.pressure / change)
+            if self.allowed is not None:
+                self.allowed *= change
+        self.had = usable
+
+    def set_levels(self, due: bool) -> None:
         """Move the part of the work that is let in, and share it out over classes and proxies."""
-        busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
-        pressure = sum(busy) / len(busy) if busy else 0.0
-        self.strain = pressure * (max(1.0, self.slowness / 0.5) if pressure > 0.8 else 1.0)
+        if due:
+            busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
+            self.pressure = sum(busy) / len(busy) if busy else 0.0
+            self.strain = self.pressure * (max(1.0, self.slowness / 0.5) if self.pressure > 0.8 else 1.0)
+            if self.strain > 0.0 and self.flow > 0.0:
+                self.learn_room()
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
-        if self.strain > 0.0 and self.flow > 0.0:
-            able = self.flow * 0.85 / self.strain
-            if self.allowed is None:
-                self.allowed = able
-            elif self.strain < 1.0:
-                self.allowed += 0.5 * (able - self.allowed)
-            else:  # tries that full endpoints turn away are no sign of room, however many they are
-                self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), 0.4 * self.able)
-            if self.strain < 0.9:
-                self.able += 0.2 * (self.flow / self.strain - self.able)
-        limited = self.allowed is not None and arrives > 0 and (pressure > 0.7 or self.fit < 1.0)
+        limited = self.allowed is not None and arrives > 0 and (self.pressure > 0.7 or self.fit < 1.0)
         self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
@@ -296,6 +309,17 @@
             row.tries = row.calm_tries if self.strain < 0.75 else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
+    def learn_room(self) -> None:
+        able = self.flow * 0.85 / self.strain
+        if self.allowed is None:
+            self.allowed = able
+        elif self.strain < 1.0:
+            self.allowed += 0.5 * (able - self.allowed)
+        else:  # tries that full endpoints turn away are no sign of room, however many they are
+            self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), 0.4 * self.able)
+        if self.strain < 0.9:
+            self.able += 0.2 * (self.flow / self.strain - self.able)
+
     def level(self, place: int, part: float) -> float:
         """A part of a class as the wire wants it: a share, or one rate for all proxies that fits in sum."""
         if self.facts.admission != "rate":
