--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -88,7 +88,7 @@
         self.allowed: float | None = None  # exchanges a second that our proxies may let in
         self.pressure = 0.0  # mean load of the endpoints in use
         self.had = 0.0  # the listed capacity in reach at the last look
-        self.able = 0.0  # what they would let in to fill the fleet, learnt while it is not full
+        self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
         self.flow = 0.0  # their tries a second, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
         self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
@@ -128,8 +128,7 @@
             self.learn(now)
             self.judge(now, orders)
         if due or self.urgent:
-            self.follow_losses(now)
-            self.set_levels(due)
+            self.set_levels(now, due)
         if due:
             self.turn_ms = now + TURN_MS
             orders.wake(TURN, self.turn_ms)
@@ -274,27 +273,23 @@
         """The listed capacity in reach, cold endpoints by what they surely have."""
         return sum((r.listed or 1.0) * self.capacity(r, now) for r in self.endpoints.values() if r.ready and not r.out)
 
-    def follow_losses(self, now: float) -> None:
-        """Scale what may be let in as endpoints go and come, before the load on the others shows it."""
-        usable = self.usable(now)
-        if usable and self.had:
-            change = usable / self.had
-            self.able *= change
-            self.pressure = min(1.0, self.pressure / change)
-            if self.allowed is not None:
-                self.allowed *= change
-        self.had = usable
-
-    def set_levels(self, due: bool) -> None:
+    def set_levels(self, now: float, due: bool) -> None:
         """Move the part of the work that is let in, and share it out over classes and proxies."""
+        usable = self.usable(now)
         if due:
             busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
             self.strain = self.pressure * (max(1.0, self.slowness / 0.5) if self.pressure > 0.8 else 1.0)
             if self.strain > 0.0 and self.flow > 0.0:
-                self.learn_room()
+                self.learn_room(usable)
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
-        limited = self.allowed is not None and arrives > 0 and (self.pressure > 0.7 or self.fit < 1.0)
+        # Lost endpoints count at once, before the load on the others shows it.
+        lost = usable < 0.9 * self.had
+        if lost and self.unit:
+            self.allowed = min(self.allowed, 0.85 * self.unit * usable)
+        if due:
+            self.had = usable
+        limited = self.allowed is not None and arrives > 0 and (lost or self.pressure > 0.7 or self.fit < 1.0)
         self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
@@ -309,16 +304,17 @@
             row.tries = row.calm_tries if self.strain < 0.75 else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
-    def learn_room(self) -> None:
+    def learn_room(self, usable: float) -> None:
         able = self.flow * 0.85 / self.strain
         if self.allowed is None:
             self.allowed = able
         elif self.strain < 1.0:
             self.allowed += 0.5 * (able - self.allowed)
         else:  # tries that full endpoints turn away are no sign of room, however many they are
-            self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), 0.4 * self.able)
-        if self.strain < 0.9:
-            self.able += 0.2 * (self.flow / self.strain - self.able)
+            least = 0.4 * self.unit * usable
+            self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), least)
+        if self.strain < 0.9 and usable:
+            self.unit += 0.2 * (self.flow / self.strain / usable - self.unit)
 
     def level(self, place: int, part: float) -> float:
         """A part of a class as the wire wants it: a share, or one rate for all proxies that fits in sum."""
