Shut out only endpoints that answer nothing

Cause: slow endpoints under overload were shut out and came back in turns. Chosen as a ratio to the proxies' own limit. Guards against hung, vanished and crashed endpoints; harms where sums are very thin.

--- a/quillstep/interface.py
+++ b/quillstep/interface.py
@@ -32,6 +32,7 @@
     admission: str = "none"  # share, rate or none
     base_mode: int = 0  # the further tries that proxies make where none are ordered
     try_factor: float = 0.0
+    ejects: int = 0  # a proxy avoids an endpoint after this many of its own failures in a row; 0: never
     report_every_ms: float = 0.0
     channel_rate: float = 0.0  # lines a second
     lines_per_message: float = 0.0
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -17,7 +17,6 @@
 
 from dataclasses import dataclass, field
 from random import Random
-from statistics import median
 
 from quillstep.interface import Incoming, Orders, StartFacts
 
@@ -28,7 +27,7 @@
 SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
-SICK = 0.8  # a failing part that makes an endpoint suspect
+SILENT = 3  # an endpoint is suspect after this many times the failures that make a proxy avoid it
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -48,6 +47,7 @@
     failing: float = 0.0  # smoothed part of tries without a good answer
     learnt_ms: float | None = None
     busy: float | None = None  # smoothed load
+    silent: int = 0  # tries failed since the last good one
     bad_probes: int = 0  # in a row
     good_probes: int = 0
     out: bool = False
@@ -174,6 +174,7 @@
                 continue
             record.tries += tries
             record.failed += failed
+            record.silent = record.silent + failed if failed >= tries else 0
             record.good_ms += mean_ms * (tries - failed)
             record.load = report.get("util", record.load)
         for endpoint, answered, _, report in incoming.probes:
@@ -255,18 +256,17 @@
         ready = {e: r for e, r in self.endpoints.items() if r.ready}
         if not ready:
             return
-        usual = median(record.failing for record in ready.values())
         room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
         for endpoint, record in ready.items():
-            suspect = record.failing > max(SICK, 2.0 * usual)
-            # An overloaded endpoint still answers some; one to shut out answers next to none.
+            suspect = record.silent >= SILENT * max(1, self.facts.ejects)
+            # A slow or overloaded endpoint still answers some; one to shut out answers none.
             if record.out and record.good_probes >= 2:
-                record.out, record.failing, record.q, self.urgent = False, 0.0, self.mean_q() * 0.1, True
+                record.out, record.silent, record.q, self.urgent = False, 0, self.mean_q() * 0.1, True
             elif not record.out and suspect and record.bad_probes >= 2 and room > 0:
                 record.out, record.good_probes, self.urgent = True, 0, True
                 room -= 1
-                orders.note(f"{endpoint} is shut out: {record.failing:.2f} of its tries fail")
-            if self.facts.may_probe and (self.facts.load_by_probe or record.out or suspect):
+                orders.note(f"{endpoint} is shut out: {record.silent} tries since its last good answer")
+            if self.facts.may_probe and (self.facts.load_by_probe or record.out or record.silent > 2):
                 orders.probe(endpoint)
 
     def usable(self, now: float) -> float:
--- a/quillstep/wirehost/decode.py
+++ b/quillstep/wirehost/decode.py
@@ -111,6 +111,7 @@
         admission=found.get("specifics.admission", "none"),
         base_mode=whole(found, "specifics.baseMode"),
         try_factor=number(found, "specifics.tryFactor"),
+        ejects=whole(found, "specifics.ejects"),
         report_every_ms=ms(found, "specifics.reportEvery"),
         channel_rate=number(found, "specifics.channelRate"),
         lines_per_message=number(found, "specifics.perMessage"),
