--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -85,7 +85,7 @@
         self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
-        self.allowed: float | None = None  # exchanges a second that our proxies may let in
+        self.allowed = 0.0  # exchanges a second that our proxies may let in
         self.pressure = 0.0  # mean load of the endpoints in use
         self.had = 0.0  # the listed capacity in reach at the last look
         self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
@@ -280,17 +280,15 @@
             busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
             self.strain = self.pressure * (max(1.0, self.slowness / 0.5) if self.pressure > 0.8 else 1.0)
-            if self.strain > 0.0 and self.flow > 0.0:
+            if self.strain > 0.0 and self.flow > 0.0 and usable:
                 self.learn_room(usable)
         arrives = sum(sum(proxy.arrives) for proxy in self.proxies.values())
-        # Lost endpoints count at once, before the load on the others shows it.
-        lost = usable < 0.9 * self.had
-        if lost and self.unit:
-            self.allowed = min(self.allowed, 0.85 * self.unit * usable)
+        # Endpoints that are lost or found count at once, before the load on the others shows it.
+        self.allowed = 0.85 * self.unit * usable / max(1.0, self.strain)
+        limited = self.unit > 0.0 and arrives > 0.0 and (self.strain > 0.7 or self.fit < 1.0 or usable < 0.9 * self.had)
+        self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         if due:
             self.had = usable
-        limited = self.allowed is not None and arrives > 0 and (lost or self.pressure > 0.7 or self.fit < 1.0)
-        self.fit = min(1.0, self.allowed / arrives) if limited else 1.0
         loads = [
             sum(proxy.arrives[place] for proxy in self.proxies.values()) * facts.agreed_ms
             for place, facts in enumerate(self.facts.classes)
@@ -305,16 +303,11 @@
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
-        able = self.flow * 0.85 / self.strain
-        if self.allowed is None:
-            self.allowed = able
-        elif self.strain < 1.0:
-            self.allowed += 0.5 * (able - self.allowed)
-        else:  # tries that full endpoints turn away are no sign of room, however many they are
-            least = 0.4 * self.unit * usable
-            self.allowed = max(min(self.allowed * max(0.8, self.strain**-0.3), able), least)
-        if self.strain < 0.9 and usable:
-            self.unit += 0.2 * (self.flow / self.strain / usable - self.unit)
+        """What fills a unit of capacity: measured while there is room, taken back slowly while there is none."""
+        if self.strain < 0.95:
+            self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
+        elif self.strain > 1.1:
+            self.unit *= 0.96
 
     def level(self, place: int, part: float) -> float:
         """A part of a class as the wire wants it: a share, or one rate for all proxies that fits in sum."""
