--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -307,7 +307,7 @@
         if self.strain < 0.95:
             self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
         elif self.strain > 1.1:
-            self.unit *= 0.96
+            self.unit *= 0.92
 
     def level(self, place: int, part: float) -> float:
         """A part of a class as the wire wants it: a share, or one rate for all proxies that fits in sum."""
