--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -241,8 +241,10 @@
         mean_q = self.mean_q()
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         warm = [weights[e] for e, r in usable.items() if self.capacity(r, now) >= 1.0]
+        # A storm may be on when nothing is known yet: then a cold endpoint starts from the least.
+        hold = max(1.0, self.strain) if self.unit else max(1.0, self.facts.fall_multiple)
         mean = sum(warm) / len(warm) if warm else sum(weights.values()) / max(1, len(weights))
-        return {e: min(w, mean * c / max(1.0, self.strain)) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
+        return {e: min(w, mean * c / hold) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
 
     def slots(self, now: float, zone: str | None) -> dict[int, int]:
         weights = self.weights(now, zone)
@@ -306,6 +308,8 @@
         """What fills a unit of capacity: measured while there is room, taken back slowly while there is none."""
         if self.strain < 0.95:
             self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
+        elif not self.unit:  # started over into a storm: most of what is tried is tried again
+            self.unit = self.flow / self.strain**2 / usable
         elif self.strain > 1.1:
             self.unit *= 0.92
 
