--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -239,11 +239,12 @@
         ready = {e: r for e, r in self.endpoints.items() if r.ready and (zone is None or r.zone == zone)}
         usable = {e: r for e, r in ready.items() if not r.out} or ready
         mean_q = self.mean_q()
+        warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
+        if warm and not self.unit:
+            usable = warm  # a storm may be on: the cold wait until it is known what they would get
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
-        warm = [weights[e] for e, r in usable.items() if self.capacity(r, now) >= 1.0]
-        # A storm may be on when nothing is known yet: then a cold endpoint starts from the least.
-        hold = max(1.0, self.strain) if self.unit else max(1.0, self.facts.fall_multiple)
-        mean = sum(warm) / len(warm) if warm else sum(weights.values()) / max(1, len(weights))
+        mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
+        hold = max(1.0, self.strain)
         return {e: min(w, mean * c / hold) if (c := self.capacity(usable[e], now)) < 1.0 else w for e, w in weights.items()}
 
     def slots(self, now: float, zone: str | None) -> dict[int, int]:
@@ -260,7 +261,7 @@
             return
         room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
         for endpoint, record in ready.items():
-            suspect = record.silent >= SILENT * max(1, self.facts.ejects)
+            suspect = record.silent >= SILENT * max(1, self.facts.ejects) and self.strain < 1.0
             # A slow or overloaded endpoint still answers some; one to shut out answers none.
             if record.out and record.good_probes >= 2:
                 record.out, record.silent, record.q, self.urgent = False, 0, self.mean_q() * 0.1, True
