Let cold endpoints wait out a storm

Tried before: shrinking by the part of endpoints heard of (too late to matter). Guards against any concentration on what has just started; harms a recovery that the cold alone could carry, by some seconds.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -245,8 +245,11 @@
         usable = {e: r for e, r in ready.items() if not r.out} or ready
         mean_q = self.mean_q()
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
-        if warm and not self.unit:
-            usable = warm  # a storm may be on: the cold wait until it is known what they would get
+        if warm and (not self.unit or self.fit < 0.5 or self.strain > 1.0):
+            # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
+            # them gets it all: it waits until it can stand half as much again as its full share.
+            stands = 1.5 / max(1.5, self.facts.fall_multiple)
+            usable = {e: r for e, r in usable.items() if self.capacity(r, now) >= stands}
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
         hold = max(1.0, self.strain)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -185,3 +185,13 @@
     pilot = Pilot(facts(slices=8), entries=[entry(1)])
     pilot.turn()
     assert pilot.first == [] and pilot.orders == []
+
+
+@pytest.mark.parametrize(("age", "waits"), [(0.0, True), (15000.0, False)])
+def test_a_cold_endpoint_waits_out_a_storm(age, waits):
+    # found on gdl-agro (h9e9b5b): proxies avoided all but the cold endpoint, which fell over
+    pilot = Pilot(facts(), entries=[entry(1), entry(2), entry(3)])
+    pilot.settle()
+    pilot.planner.fit = 0.3
+    pilot.round(lists=[("partial", [entry(1, started=pilot.now - age)])], after=700.0)
+    assert (1 not in pilot.slots()) == waits
