--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -28,6 +28,8 @@
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
 SILENT = 3  # an endpoint is suspect after this many times the failures that make a proxy avoid it
+TARGET = 0.85  # the load on the fleet that levels aim at
+SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -245,7 +247,7 @@
         usable = {e: r for e, r in ready.items() if not r.out} or ready
         mean_q = self.mean_q()
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
-        if warm and (not self.unit or self.fit < 0.5 or self.strain > 1.0):
+        if warm and (not self.unit or self.fit < 0.5 or self.strain > TARGET):
             # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
             # them gets it all: it waits until it can stand half as much again as its full share.
             stands = 1.5 / max(1.5, self.facts.fall_multiple)
@@ -295,12 +297,12 @@
         if due:
             busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
-            self.strain = self.pressure * (max(1.0, self.slowness / 0.5) if self.pressure > 0.8 else 1.0)
+            self.strain = self.pressure * (max(1.0, self.slowness / SLOW) if self.pressure > 0.8 else 1.0)
             if self.strain > 0.0 and self.flow > 0.0 and usable:
                 self.learn_room(usable)
         arrives = sum(self.arrives())
         # Endpoints that are lost or found count at once, before the load on the others shows it.
-        self.allowed = 0.85 * self.unit * usable / max(1.0, self.strain)
+        self.allowed = TARGET * self.unit * usable / max(1.0, self.strain)
         likely = self.strain > 0.7 or self.fit < 1.0 or usable < 0.9 * self.had
         self.fit = min(1.0, self.allowed / arrives) if likely and self.unit and arrives else 1.0
         if due:
