Count what a proxy brings that moves from another pilot as new load

Guards against any sudden move of load between pilots; harms a calm move by a few seconds of refusals.

--- a/quillstep/interface.py
+++ b/quillstep/interface.py
@@ -54,7 +54,8 @@
     # (kind, entries); kind is partial, complete, persisted or error; an entry is
     # (endpoint, zone, state, weight, started_ms) with state in_service, terminating or terminated
     lists: list[tuple] = field(default_factory=list)
-    # (proxy, joined, zone, usual exchanges a second); the last two only where it joined
+    # (proxy, joined, zone, usual exchanges a second, fresh: it holds no earlier orders); the last three only
+    # where it joined
     streams: list[tuple] = field(default_factory=list)
     # (endpoint, tries, failed, mean time of the good ones, covers_ms, load report by name)
     sums: list[tuple] = field(default_factory=list)
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -96,6 +96,7 @@
         self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
         self.turn_ms: float | None = None
         self.learnt_ms = 0.0
+        self.joined_ms = float("-inf")
         self.pushed_ms = float("-inf")
         self.counted_ms = 0.0
         self.waiting = 0.0  # lines that may still wait in the channel
@@ -121,8 +122,8 @@
             self.learnt_ms = now
         for kind, entries in incoming.lists:
             self.take_list(kind, entries, now, orders)
-        for proxy, joined, zone, usual in incoming.streams:
-            self.take_stream(proxy, joined, zone, usual)
+        for proxy, joined, zone, usual, fresh in incoming.streams:
+            self.take_stream(proxy, joined, zone, usual, fresh, now)
         self.take_reports(incoming)
         due = now >= self.turn_ms
         if due:
@@ -161,13 +162,17 @@
             self.urgent |= ready != record.ready
             record.ready, record.listed = ready, listed
 
-    def take_stream(self, proxy: int, joined: bool, zone: str, usual: float) -> None:
+    def take_stream(
+        self, proxy: int, joined: bool, zone: str, usual: float, fresh: bool, now: float
+    ) -> None:
         self.proxies.pop(proxy, None)
         if joined:
             if zone not in self.zones:
                 self.zones.append(zone)
             each = usual / max(1, len(self.classes))
             self.proxies[proxy] = Proxy(zone, [each] * len(self.classes))
+            if not fresh:
+                self.joined_ms, self.urgent = now, True
 
     def take_reports(self, incoming: Incoming) -> None:
         for endpoint, tries, failed, mean_ms, _, report in incoming.sums:
@@ -303,7 +308,9 @@
         arrives = sum(self.arrives())
         # Endpoints that are lost or found count at once, before the load on the others shows it.
         self.allowed = TARGET * self.unit * usable / max(1.0, self.strain)
-        likely = self.strain > 0.7 or self.fit < 1.0 or usable < 0.9 * self.had
+        # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
+        joined = now - self.joined_ms < 5.0 * TURN_MS
+        likely = joined or self.strain > 0.7 or self.fit < 1.0 or usable < 0.9 * self.had
         self.fit = min(1.0, self.allowed / arrives) if likely and self.unit and arrives else 1.0
         if due:
             self.had = usable
--- a/quillstep/wirehost/host.py
+++ b/quillstep/wirehost/host.py
@@ -97,10 +97,10 @@
                 raise ValueError(f"no 'manifest' gave the list number {bank}")
             incoming.lists.append((kind, [] if kind == "error" else list(self.banks[bank])))
         elif name == "joined":
-            usual = decode.number(found, "part")
-            incoming.streams.append((whole(found, "agent"), True, found["regionPart"], usual))
+            usual, fresh = decode.number(found, "part"), decode.yes(found, "active")
+            incoming.streams.append((whole(found, "agent"), True, found["regionPart"], usual, fresh))
         elif name == "disconnected":
-            incoming.streams.append((whole(found, "agent"), False, "", 0.0))
+            incoming.streams.append((whole(found, "agent"), False, "", 0.0, False))
         elif name == "observed":
             incoming.sums.append((
                 whole(found, "endpoint"), whole(found, "many"), whole(found, "errors"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -32,7 +32,7 @@
         self.now = 1000.0
         self.orders = []
         self.ordered_levels = {}
-        streams = [(at, True, "ab"[at % 2], 10.0) for at in range(proxies)]
+        streams = [(at, True, "ab"[at % 2], 10.0, True) for at in range(proxies)]
         self.first = self.round(lists=[("persisted", entries)], streams=streams)
 
     def __getattr__(self, name):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -151,7 +151,7 @@
 
 def test_a_proxy_is_bound_anew_each_time_it_joins():
     pilot = Pilot(facts(), entries=[entry(1)])
-    pilot.round(streams=[(0, False, "", 0.0), (0, True, "a", 5.0)])
+    pilot.round(streams=[(0, False, "", 0.0, False), (0, True, "a", 5.0, False)])
     assert [order[:2] for order in pilot.orders if order[0] == "bind"] == [("bind", 0)]
 
 
@@ -169,7 +169,7 @@
         {"sums": [(99, 5, 1, 10.0, 0.0, {}), (1, 0, 0, 0.0, 0.0, {"util": 0.5})]},
         {"arrivals": [(0, 0, 0, 0, 0.0), (1, 77, 4, 4, 1000.0)]},
         {"probes": [(99, True, 1.0, {}), (1, True, 1.0, {})]},
-        {"streams": [(0, True, "elsewhere", 0.0), (0, True, "a", 0.0), (5, False, "", 0.0)]},
+        {"streams": [(0, True, "x", 0.0, True), (0, True, "a", 0.0, False), (5, False, "", 0.0, False)]},
         {"lists": [("partial", [entry(1, weight=0.0), entry(1, weight=0.0)])], "after": 90000.0},
     ],
 )
@@ -195,3 +195,12 @@
     pilot.planner.strain = 1.5
     pilot.round(lists=[("partial", [entry(1, started=pilot.now - age)])], after=700.0)
     assert (1 not in pilot.slots()) == waits
+
+
+@pytest.mark.parametrize(("fresh", "limited"), [(False, True), (True, False)])
+def test_what_a_moving_proxy_brings_counts_as_new_load(fresh, limited):
+    # found on gdl-agro: a busy proxy left a pilot that refused most for one that refused nothing
+    pilot = Pilot(facts(), entries=[entry(1), entry(2)])
+    pilot.settle(util=0.5)
+    pilot.round(streams=[(9, True, "a", 100.0, fresh)], after=700.0)
+    assert (pilot.levels()[0][0] < 0.5) == limited
