Count failing tries as load and learn capacity from completed ones

Told from a hang of a few by the failing part of nearly all. Guards against any grey failure where load reports come only from what still answers; harms where fast failing is wide but harmless.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -213,7 +213,8 @@
             agreed = sum(work) / sum(arrives)
             spent = sum(r.good_ms + r.failed * agreed for r in self.endpoints.values())
             self.slowness += 0.5 * (spent / tries / agreed - self.slowness)
-        self.flow += 0.5 * (1000.0 * tries / max(1.0, now - self.learnt_ms) - self.flow)
+        good = tries - sum(record.failed for record in self.endpoints.values())
+        self.flow += 0.5 * (1000.0 * good / max(1.0, now - self.learnt_ms) - self.flow)
         self.learnt_ms = now
 
     def learn(self, now: float) -> None:
@@ -226,7 +227,9 @@
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
                 load = min(1.0, max(0.0, record.load))
-                record.busy = load if record.busy is None else record.busy + 0.7 * (load - record.busy)
+                # Tries that fail count as load: an endpoint may answer a few and look idle to those.
+                seen = max(load, failing)
+                record.busy = seen if record.busy is None else record.busy + 0.7 * (seen - record.busy)
                 payoff = (1.0 - load) * (1.0 - failing) ** 2
                 if record.q is None:
                     record.q = self.mean_q()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -53,9 +53,9 @@
     def turn(self, **incoming):
         return self.round(after=1001.0, **incoming)
 
-    def settle(self, util=0.5, tries=10, turns=12):
+    def settle(self, util=0.5, tries=10, failed=0, turns=12):
         """Turns of even traffic, the same load at every endpoint."""
-        sums = [(e, tries, 0, 200.0, 1000.0, {"util": util}) for e in self.planner.endpoints]
+        sums = [(e, tries, failed, 200.0, 1000.0, {"util": util}) for e in self.planner.endpoints]
         arrivals = [(place, p, tries // 2, 0, 1000.0) for place in (0, 1) for p in self.planner.proxies]
         for _ in range(turns):
             self.turn(sums=sums, arrivals=arrivals)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -204,3 +204,12 @@
     pilot.settle(util=0.5)
     pilot.round(streams=[(9, True, "a", 100.0, fresh)], after=700.0)
     assert (pilot.levels()[0][0] < 0.5) == limited
+
+
+def test_failing_tries_count_as_load_and_not_as_room():
+    # found as i163a50: endpoints answered a few, those looked idle, and what failed was taken for capacity
+    pilot = Pilot(facts(), entries=[entry(1), entry(2)])
+    pilot.settle(util=0.6)
+    unit = pilot.planner.unit
+    pilot.settle(util=0.5, tries=40, failed=36)
+    assert pilot.planner.strain > 1.0 and pilot.planner.unit <= unit and pilot.levels()[0][0] < 0.5
