Judge silence against those that answer, after as many failures as a proxy bears

Now silence is a fault where those that answer are not full. Harms a fleet where most answer fast failures while few are silent.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -27,7 +27,6 @@
 SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
-SILENT = 3  # an endpoint is suspect after this many times the failures that make a proxy avoid it
 TARGET = 0.85  # the load on the fleet that levels aim at
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
@@ -282,8 +281,12 @@
         if not ready:
             return
         room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
+        # Where those that answer are full too, it is overload and not a fault of the silent.
+        least = max(1, self.facts.ejects)
+        answering = [r.busy for r in ready.values() if r.silent < least and r.busy is not None]
+        others = sum(answering) / len(answering) if answering else 1.0
         for endpoint, record in ready.items():
-            suspect = record.silent >= SILENT * max(1, self.facts.ejects) and self.strain < 1.0
+            suspect = record.silent >= least and others < TARGET
             # A slow or overloaded endpoint still answers some; one to shut out answers none.
             if record.out and record.good_probes >= 2:
                 record.out, record.silent, record.q, self.urgent = False, 0, self.mean_q() * 0.1, True
