Cold endpoints wait while proxies move; a fresh start lets in what is left of the list

Guards any return that coincides with moving proxies or a restarted pilot; harms a calm return by five turns.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -27,6 +27,7 @@
 SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
+SETTLE = 5  # turns until reports show what a proxy that came or went has changed
 TARGET = 0.85  # the load on the fleet that levels aim at
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
@@ -96,6 +97,7 @@
         self.turn_ms: float | None = None
         self.learnt_ms = 0.0
         self.joined_ms = float("-inf")
+        self.moved_ms = float("-inf")
         self.pushed_ms = float("-inf")
         self.counted_ms = 0.0
         self.waiting = 0.0  # lines that may still wait in the channel
@@ -164,14 +166,15 @@
     def take_stream(
         self, proxy: int, joined: bool, zone: str, usual: float, fresh: bool, now: float
     ) -> None:
-        self.proxies.pop(proxy, None)
+        if self.proxies.pop(proxy, None):
+            self.moved_ms = now
         if joined:
             if zone not in self.zones:
                 self.zones.append(zone)
             each = usual / max(1, len(self.classes))
             self.proxies[proxy] = Proxy(zone, [each] * len(self.classes))
             if not fresh:
-                self.joined_ms, self.urgent = now, True
+                self.joined_ms, self.moved_ms, self.urgent = now, now, True
 
     def take_reports(self, incoming: Incoming) -> None:
         for endpoint, tries, failed, mean_ms, _, report in incoming.sums:
@@ -254,7 +257,8 @@
         usable = {e: r for e, r in ready.items() if not r.out} or ready
         mean_q = self.mean_q()
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
-        if warm and (not self.unit or self.fit < 0.5 or self.strain > TARGET):
+        moving = now - self.moved_ms < SETTLE * TURN_MS
+        if warm and (moving or not self.unit or self.fit < 0.5 or self.strain > TARGET):
             # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
             # them gets it all: it waits until it can stand half as much again as its full share.
             stands = 1.5 / max(1.5, self.facts.fall_multiple)
@@ -316,9 +320,11 @@
         # What is being completed can be let in again, less a little to drain the queues.
         self.allowed = TARGET * max(self.flow, self.unit * usable / max(1.0, self.strain))
         # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
-        joined = now - self.joined_ms < 5.0 * TURN_MS
+        joined = now - self.joined_ms < SETTLE * TURN_MS
         likely = joined or self.strain > 0.7 or self.fit < 1.0 or usable < 0.9 * self.had
         self.fit = min(1.0, self.allowed / arrives) if likely and self.unit and arrives else 1.0
+        if not self.unit:  # nothing is measured yet: let in as much as is left of the list
+            self.fit = usable / (sum(r.listed or 1.0 for r in self.endpoints.values()) or 1.0)
         if due:
             self.had = usable
         loads = [each * row.agreed_ms for each, row in zip(self.arrives(), self.facts.classes, strict=True)]
