Try again after any failure only while the fleet is below half load

Cause: a try that may be followed is cut at 0.8 of the agreed time, so at 0.5 to 0.75 load the second try doubled work just as queues grew.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -334,7 +334,7 @@
             excess -= cut
             row = self.classes[place]
             part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
-            row.tries = row.calm_tries if self.strain < 0.75 else 1 if self.strain < 1.0 else 0
+            row.tries = row.calm_tries if self.strain < 0.5 else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
