--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from quillstep.interface import Incoming, Orders, StartFacts
+from quillstep.interface import ClassFacts, Incoming, Orders, StartFacts
 
 ALPHA, GAMMA = 0.1, 0.1  # the update's learning and discount rate
 TURN_MS = 1000.0  # the design's turn, and the window over which changes are gathered
@@ -30,6 +30,8 @@
 SETTLE = 5  # turns until reports show what a proxy that came or went has changed
 TARGET = 0.85  # the load on the fleet that levels aim at
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
+STALLS = 2.5  # agreed times that a proxy may stand still between two tries
+CALM = 0.5  # the load on the fleet below which a further try follows any failure
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -46,7 +48,6 @@
     tries: int = 0  # since the last turn
     failed: int = 0
     good_ms: float = 0.0  # summed time of the good ones
-    failing: float = 0.0  # smoothed part of tries without a good answer
     learnt_ms: float | None = None
     busy: float | None = None  # smoothed load
     silent: int = 0  # tries failed since the last good one
@@ -91,7 +92,7 @@
         self.pressure = 0.0  # mean load of the endpoints in use
         self.had = 0.0  # the listed capacity in reach at the last look
         self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
-        self.flow = 0.0  # their tries a second, smoothed
+        self.flow = 0.0  # tries a second that our proxies had answered, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
         self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
         self.turn_ms: float | None = None
@@ -101,14 +102,22 @@
         self.pushed_ms = float("-inf")
         self.counted_ms = 0.0
         self.waiting = 0.0  # lines that may still wait in the channel
-        self.urgent = False
+        self.urgent = False  # an endpoint drained, died or started, or a proxy moved here
+        self.ask = False  # the list must be asked for again
         self.wake_ms = float("-inf")
 
-    def class_row(self, row) -> ClassLevel:
-        calm = 1
-        if row.semantics == "safe":
-            calm = 2
-        return ClassLevel(1, calm, row.credit / max(row.agreed_ms, 1.0), 1.0)
+    def class_row(self, row: ClassFacts) -> ClassLevel:
+        """After proof that a try never ran all may try again; after any failure only where a repeat is safe.
+
+        A keyed repeat must reach endpoints that share the key, while they still drop it: after the wait, a
+        stall of the proxy and the way of an order.
+        """
+        wait_ms = self.facts.try_factor * row.agreed_ms
+        held_ms = wait_ms + STALLS * row.agreed_ms + self.facts.order_late_most_ms
+        shares_key = row.scope == "all" or (row.scope == "zone" and row.home_only)
+        keyed = row.semantics == "keyed" and shares_key and row.window_ms >= held_ms
+        calm_tries = 2 if row.semantics == "safe" or keyed else 1
+        return ClassLevel(1, calm_tries, row.credit / max(row.agreed_ms, 1.0), 1.0)
 
     def round(self, incoming: Incoming, orders: Orders) -> None:
         """Take in what came and write what follows from it."""
@@ -122,7 +131,7 @@
                 orders.watch_list()
             self.learnt_ms = now
         for kind, entries in incoming.lists:
-            self.take_list(kind, entries, now, orders)
+            self.take_list(kind, entries)
         for proxy, joined, zone, usual, fresh in incoming.streams:
             self.take_stream(proxy, joined, zone, usual, fresh, now)
         self.take_reports(incoming)
@@ -134,6 +143,9 @@
         if due or self.urgent:
             self.set_levels(now, due)
         if due:
+            if self.ask:
+                orders.watch_list()
+            self.ask = False
             self.turn_ms = now + TURN_MS
             orders.wake(TURN, self.turn_ms)
         self.push(now, due, orders)
@@ -141,9 +153,9 @@
 
     # what came in
 
-    def take_list(self, kind: str, entries: list[tuple], now: float, orders: Orders) -> None:
+    def take_list(self, kind: str, entries: list[tuple]) -> None:
         if kind == "error":
-            orders.watch_list()
+            self.ask = True  # at the next turn, not at once: a call that failed may have found it full
             return
         if kind != "partial":
             named = {entry[0] for entry in entries}
@@ -223,8 +235,6 @@
         """Q <- Q + alpha (R + gamma - Q), once for each figure, by its age."""
         for record in self.endpoints.values():
             failing = record.failed / record.tries if record.tries else 0.0
-            if record.tries:
-                record.failing += 0.3 * (failing - record.failing)
             if record.load is None and failing > 0.5:
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
@@ -334,7 +344,7 @@
             excess -= cut
             row = self.classes[place]
             part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
-            row.tries = row.calm_tries if self.strain < 0.5 else 1 if self.strain < 1.0 else 0
+            row.tries = row.calm_tries if self.strain < CALM else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
@@ -387,14 +397,15 @@
         lines = 0
         for table, zone, classes in self.tables():
             users = sum(1 for p in self.proxies.values() if p.bound and zone in (None, p.zone))
-            lines += users * self.send_table(now, table, zone, crowded and not self.urgent, orders)
+            lines += users * self.send_table(now, table, zone, crowded, orders)
             lines += users * self.send_levels(table, classes, crowded, orders)
         if lines:
             self.pushed_ms = now
             self.waiting += lines + self.facts.lines_per_message * len(self.proxies)
         self.urgent = False
 
-    def send_table(self, now: float, table: int, zone: str | None, only_gone: bool, orders: Orders) -> int:
+    def send_table(self, now: float, table: int, zone: str | None, crowded: bool, orders: Orders) -> int:
+        """Drains and deaths first; while the channel is crowded, else only news and what falls by half."""
         slots = self.slots(now, zone)
         lines = 0
         for endpoint, record in self.endpoints.items():
@@ -405,7 +416,7 @@
                 lines += 1
         for endpoint, wanted in slots.items():
             before = self.endpoints[endpoint].sent.get(table, 0)
-            if abs(wanted - before) > RESEND * before and not (only_gone and before):
+            if abs(wanted - before) > RESEND * before and not (crowded and wanted > before / 2 > 0):
                 orders.line(table, endpoint, wanted)
                 self.endpoints[endpoint].sent[table] = wanted
                 lines += 1
