--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -268,7 +268,7 @@
         mean_q = self.mean_q()
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
         moving = now - self.moved_ms < SETTLE * TURN_MS
-        if warm and (moving or not self.unit or self.fit < 0.5 or self.strain > TARGET):
+        if warm and (moving or not self.unit or self.fit < 1.0 or self.strain > TARGET):
             # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
             # them gets it all: it waits until it can stand half as much again as its full share.
             stands = 1.5 / max(1.5, self.facts.fall_multiple)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -264,3 +264,12 @@
     pilot.record(2).q *= 1.5
     pilot.round(lists=[("partial", [entry(1, state="terminated")])], after=700.0)
     assert [order for order in pilot.orders if order[0] == "line"] == [("line", 0, 1, 0)]
+
+
+def test_a_cold_endpoint_waits_while_anything_is_held_back():
+    # found on gdl-agro (hdb520a): all endpoints slowed a second after two came back
+    pilot = Pilot(facts(), entries=[entry(1), entry(2), entry(3)])
+    pilot.settle(util=0.8, tries=10)
+    pilot.planner.unit *= 0.9
+    pilot.turn(lists=[("partial", [entry(1, started=pilot.now)])])
+    assert pilot.planner.fit < 1.0 and 1 not in pilot.slots()
