--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -238,7 +238,10 @@
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
                 load = min(1.0, max(0.0, record.load))
-                record.busy = load if record.busy is None else record.busy + 0.7 * (load - record.busy)
+                # Failing tries count as load: where most fail, for whatever reason, there is no room, even
+                # if the few answers that bring a report show some.  Wide but harmless failing costs a little.
+                seen = max(load, failing)
+                record.busy = seen if record.busy is None else record.busy + 0.7 * (seen - record.busy)
                 payoff = (1.0 - load) * (1.0 - failing) ** 2
                 if record.q is None:
                     record.q = self.mean_q()
