--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -32,6 +32,7 @@
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
 STALLS = 2.5  # agreed times that a proxy may stand still between two tries
 CALM = 0.5  # the load on the fleet below which a further try follows any failure
+COMES = 3  # times that a client is taken to come with an exchange that is refused each time
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -74,6 +75,7 @@
     calm_tries: int
     credit_per_work: float
     level: float
+    part: float = 1.0  # the part of what arrives that was let in of late
     sent: dict[int, tuple[float, int]] = field(default_factory=dict)  # level and tries by table
 
 
@@ -217,6 +219,14 @@
         """What reaches our proxies of each class, exchanges a second."""
         return [sum(p.arrives[place] for p in self.proxies.values()) for place in range(len(self.classes))]
 
+    def first_arrivals(self) -> list[float]:
+        """What arrives for the first time; refused exchanges come again, and levels that count those open late.
+
+        Where clients come less often than taken here, levels open too far and strain takes it back.
+        """
+        again = [sum((1.0 - row.part) ** time for time in range(COMES)) for row in self.classes]
+        return [each / times for each, times in zip(self.arrives(), again, strict=True)]
+
     def measure(self, now: float) -> None:
         """What all sums since the last turn say of the whole fleet."""
         tries = sum(record.tries for record in self.endpoints.values())
@@ -325,7 +335,8 @@
             self.strain = self.pressure * (max(1.0, self.slowness / SLOW) if self.pressure > 0.8 else 1.0)
             if self.strain > 0.0 and self.flow > 0.0 and usable:
                 self.learn_room(usable)
-        arrives = sum(self.arrives())
+        first = self.first_arrivals()
+        arrives = sum(first)
         # Endpoints that are lost or found count at once, before the load on the others shows it.
         # What is being completed can be let in again, less a little to drain the queues.
         self.allowed = TARGET * max(self.flow, self.unit * usable / max(1.0, self.strain))
@@ -335,13 +346,15 @@
         self.fit = min(1.0, self.allowed / arrives) if likely and self.unit and arrives else 1.0
         if not self.unit:  # nothing is measured yet: let in as much as is left of the list
             self.fit = usable / (sum(r.listed or 1.0 for r in self.endpoints.values()) or 1.0)
-        loads = [each * row.agreed_ms for each, row in zip(self.arrives(), self.facts.classes, strict=True)]
+        loads = [each * row.agreed_ms for each, row in zip(first, self.facts.classes, strict=True)]
         excess = (1.0 - self.fit) * sum(loads)
         for place in sorted(range(len(loads)), key=lambda at: self.classes[at].credit_per_work):
             cut = min(excess, 0.9 * loads[place])
             excess -= cut
             row = self.classes[place]
-            part = 1.0 - cut / loads[place] if loads[place] > 0 else 1.0
+            part = 1.0 - (cut / loads[place]) ** (1.0 / COMES) if loads[place] > 0 else 1.0
+            if due:
+                row.part += 0.5 * (part - row.part)
             row.tries = row.calm_tries if self.strain < CALM else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -257,3 +257,13 @@
     pilot.planner.unit *= 0.9
     pilot.turn(lists=[("partial", [entry(1, started=pilot.now)])])
     assert pilot.planner.fit < 1.0 and 1 not in pilot.slots()
+
+
+@pytest.mark.parametrize(("part", "first"), [(1.0, 20.0), (0.5, 20.0 / 1.75), (0.0, 20.0 / 3.0)])
+def test_refused_exchanges_are_not_counted_each_time_they_come(part, first):
+    # found as i3d9171: half was refused for 15 s though endpoints stood idle, as repeats looked like demand
+    pilot = Pilot(facts(), entries=[entry(1), entry(2)])
+    pilot.settle()
+    pilot.planner.classes[0].part = part
+    arrives = pilot.planner.arrives()[0]
+    assert pilot.planner.first_arrivals()[0] == pytest.approx(arrives * first / 20.0)
