--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -220,7 +220,7 @@
         return [sum(p.arrives[place] for p in self.proxies.values()) for place in range(len(self.classes))]
 
     def first_arrivals(self) -> list[float]:
-        """What arrives for the first time; refused exchanges come again, and levels that count those open late.
+        """What arrives for the first time; levels that count what is refused and comes again open late.
 
         Where clients come less often than taken here, levels open too far and strain takes it back.
         """
