Count endpoints out of reach neither as load nor as capacity

Told from overload by probes that fail beside endpoints that answer at a modest load. Guards any partial loss of sight.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -310,27 +310,34 @@
         answering = [r.busy for r in ready.values() if r.silent < least and r.busy is not None]
         others = sum(answering) / len(answering) if answering else 1.0
         for endpoint, record in ready.items():
-            suspect = record.silent >= least and others < TARGET
+            suspect = self.lost(record) and others < TARGET
             # A slow or overloaded endpoint still answers some; one to shut out answers none.
             if record.out and record.good_probes >= 2:
                 record.out, record.silent, record.q, self.urgent = False, 0, self.mean_q() * 0.1, True
-            elif not record.out and suspect and record.bad_probes >= 2 and room > 0:
+            elif not record.out and suspect and room > 0:
                 record.out, record.good_probes, self.urgent = True, 0, True
                 room -= 1
                 orders.note(f"{endpoint} is shut out: {record.silent} tries since its last good answer")
             if self.facts.may_probe and (self.facts.load_by_probe or record.out or record.silent > 2):
                 orders.probe(endpoint)
 
+    def reached(self) -> list[Endpoint]:
+        """The endpoints that our proxies can use; a pilot that is cut off may reach fewer than may be out."""
+        return [r for r in self.endpoints.values() if r.ready and not r.out and not self.lost(r)]
+
+    def lost(self, record: Endpoint) -> bool:
+        """Sums suggest it and probes confirm it: as many failures in a row as a proxy bears, two bad probes."""
+        return record.silent >= max(1, self.facts.ejects) and record.bad_probes >= 2
+
     def usable(self, now: float) -> float:
         """The listed capacity in reach, cold endpoints by what they surely have."""
-        in_use = (record for record in self.endpoints.values() if record.ready and not record.out)
-        return sum((record.listed or 1.0) * self.capacity(record, now) for record in in_use)
+        return sum((record.listed or 1.0) * self.capacity(record, now) for record in self.reached())
 
     def set_levels(self, now: float, due: bool) -> None:
         """Move the part of the work that is let in, and share it out over classes and proxies."""
         usable = self.usable(now)
         if due:
-            busy = [r.busy for r in self.endpoints.values() if r.ready and not r.out and r.busy is not None]
+            busy = [r.busy for r in self.reached() if r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
             self.strain = self.pressure * (max(1.0, self.slowness / SLOW) if self.pressure > 0.8 else 1.0)
             if self.strain > 0.0 and self.flow > 0.0 and usable:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -267,3 +267,15 @@
     pilot.planner.classes[0].part = part
     arrives = pilot.planner.arrives()[0]
     assert pilot.planner.first_arrivals()[0] == pytest.approx(arrives * first / 20.0)
+
+
+def test_endpoints_out_of_reach_count_neither_as_load_nor_as_capacity():
+    # found on cotizanet-mx (h7e241e): a pilot cut off with a few endpoints unlearnt the fleet's capacity
+    pilot = Pilot(facts(), entries=[entry(at) for at in range(1, 9)])
+    pilot.settle(util=0.5)
+    unit = pilot.planner.unit
+    for _ in range(8):
+        near = [(at, 10, 0, 200.0, 1000.0, {"util": 0.5}) for at in (1, 2)]
+        far = [(at, 10, 10, 0.0, 1000.0, {}) for at in range(3, 9)]
+        pilot.turn(sums=near + far, probes=[(row[0], False, 300.0, {}) for row in far])
+    assert pilot.planner.unit == pytest.approx(unit, rel=0.25) and pilot.planner.pressure < 0.6
