--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -326,7 +326,7 @@
         return [r for r in self.endpoints.values() if r.ready and not r.out and not self.lost(r)]
 
     def lost(self, record: Endpoint) -> bool:
-        """Sums suggest it and probes confirm it: as many failures in a row as a proxy bears, two bad probes."""
+        """Sums suggest it, probes confirm it: as many failures in a row as a proxy bears, two bad probes."""
         return record.silent >= max(1, self.facts.ejects) and record.bad_probes >= 2
 
     def usable(self, now: float) -> float:
