--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -30,6 +30,7 @@
 SETTLE = 5  # turns until reports show what a proxy that came or went has changed
 TARGET = 0.85  # the load on the fleet that levels aim at
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
+KEEPS = 0.7  # what is kept of the smoothed arrivals after a turn
 STALLS = 2.5  # agreed times that a proxy may stand still between two tries
 CALM = 0.5  # the load on the fleet below which a further try follows any failure
 COMES = 3  # times that a client is taken to come with an exchange that is refused each time
@@ -211,7 +212,8 @@
         for place, proxy, arrived, _, covers_ms in incoming.arrivals:
             record = self.proxies.get(proxy)
             if record and covers_ms > 0:
-                record.arrives[place] += 0.5 * (arrived * 1000.0 / covers_ms - record.arrives[place])
+                step = 1.0 - KEEPS ** (covers_ms / TURN_MS)  # by its age
+                record.arrives[place] += step * (arrived * 1000.0 / covers_ms - record.arrives[place])
 
     # the design
 
