--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -347,8 +347,7 @@
         first = self.first_arrivals()
         arrives = sum(first)
         # Endpoints that are lost or found count at once, before the load on the others shows it.
-        # What is being completed can be let in again, less a little to drain the queues.
-        self.allowed = TARGET * max(self.flow, self.unit * usable / max(1.0, self.strain))
+        self.allowed = TARGET * self.unit * usable / max(1.0, self.strain)
         # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
         joined = now - self.joined_ms < SETTLE * TURN_MS
         likely = joined or self.strain > 0.7 or self.fit < 1.0
