--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -91,7 +91,6 @@
         self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
         self.fit = 1.0  # the part of the offered work that is let in
-        self.allowed = 0.0  # exchanges a second that our proxies may let in
         self.pressure = 0.0  # mean load of the endpoints in use
         self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
         self.flow = 0.0  # tries a second that our proxies had answered, smoothed
@@ -99,8 +98,8 @@
         self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
         self.turn_ms: float | None = None
         self.learnt_ms = 0.0
-        self.joined_ms = float("-inf")
-        self.moved_ms = float("-inf")
+        self.joined_ms = float("-inf")  # when a proxy last came with another pilot's orders
+        self.moved_ms = float("-inf")  # when one last came so, or went
         self.pushed_ms = float("-inf")
         self.counted_ms = 0.0
         self.waiting = 0.0  # lines that may still wait in the channel
@@ -347,11 +346,11 @@
         first = self.first_arrivals()
         arrives = sum(first)
         # Endpoints that are lost or found count at once, before the load on the others shows it.
-        self.allowed = TARGET * self.unit * usable / max(1.0, self.strain)
+        allowed = TARGET * self.unit * usable / max(1.0, self.strain)
         # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
         joined = now - self.joined_ms < SETTLE * TURN_MS
         likely = joined or self.strain > 0.7 or self.fit < 1.0
-        self.fit = min(1.0, self.allowed / arrives) if likely and self.unit and arrives else 1.0
+        self.fit = min(1.0, allowed / arrives) if likely and self.unit and arrives else 1.0
         if not self.unit:  # nothing is measured yet: let in as much as is left of the list
             self.fit = usable / (sum(r.listed or 1.0 for r in self.endpoints.values()) or 1.0)
         loads = [each * row.agreed_ms for each, row in zip(first, self.facts.classes, strict=True)]
