--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -281,9 +281,8 @@
         moving = now - self.moved_ms < SETTLE * TURN_MS
         if warm and (moving or not self.unit or self.fit < 1.0 or self.strain > TARGET):
             # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
-            # them gets it all: it waits until it can stand half as much again as its full share.
-            stands = 1.5 / max(1.5, self.facts.fall_multiple)
-            usable = {e: r for e, r in usable.items() if self.capacity(r, now) >= stands}
+            # them gets it all: it waits until it is warm, or calm is back.
+            usable = warm
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
         hold = max(1.0, self.strain)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -188,14 +188,18 @@
     assert pilot.first == [] and pilot.orders == []
 
 
-@pytest.mark.parametrize(("age", "waits"), [(0.0, True), (15000.0, False)])
-def test_a_cold_endpoint_waits_out_a_storm(age, waits):
-    # found on gdl-agro (h9e9b5b): proxies avoided all but the cold endpoint, which fell over
+@pytest.mark.parametrize("age", [0.0, 11000.0])
+def test_a_cold_endpoint_waits_out_a_storm_until_it_is_warm(age):
+    # found on gdl-agro (h9e9b5b, h00acaa): proxies avoided all but the cold endpoint, which fell over
     pilot = Pilot(facts(), entries=[entry(1), entry(2), entry(3)])
     pilot.settle()
     pilot.planner.strain = 1.5
     pilot.round(lists=[("partial", [entry(1, started=pilot.now - age)])], after=700.0)
-    assert (1 not in pilot.slots()) == waits
+    assert 1 not in pilot.slots()
+    pilot.now += 18000.0 - age
+    pilot.planner.urgent = True
+    pilot.round()
+    assert pilot.slots()[1] >= 1
 
 
 @pytest.mark.parametrize(("fresh", "limited"), [(False, True), (True, False)])
