Joins and changes wait for room in the channel; withdrawals carry drains and shut-outs

Change: what waits is counted as written less what receipts (or half the usual pace) say has left. Joins go heaviest proxy first up to half of the limit; of the changes those that move most, up to 0.4 of it; drains, deaths and falls of cold endpoints first and up to 0.95. What no table wants is withdrawn: one line a proxy instead of one a table, and it holds for proxies that still use standing tables or another pilot's. Guards also against a slow channel and a pilot's proxies moving over; harms where receipts are lost: changes wait longer than they need.

--- a/quillstep/interface.py
+++ b/quillstep/interface.py
@@ -63,6 +63,8 @@
     arrivals: list[tuple] = field(default_factory=list)
     # (endpoint, answered, took_ms, load report by name)
     probes: list[tuple] = field(default_factory=list)
+    # the number given with `Orders.receipt`, once for each proxy that answers
+    receipts: list[int] = field(default_factory=list)
 
 
 class Orders(Protocol):
@@ -71,6 +73,9 @@
     def line(self, table: int, endpoint: int, weight: float) -> None:
         """Give an endpoint this weight in a table; 0 takes it out."""
 
+    def withdraw(self, endpoint: int, out: bool) -> None:
+        """Keep an endpoint out of all tables that joined proxies hold, whoever wrote them, or let it back."""
+
     def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
         """Put a joined proxy on a table for these classes."""
 
@@ -80,6 +85,9 @@
     def probe(self, endpoint: int) -> None:
         """Ask for one health check."""
 
+    def receipt(self, serial: int) -> None:
+        """Ask each proxy that this round's orders reach to answer with this number once it holds them."""
+
     def watch_list(self) -> None:
         """Ask for the list's changes from now on."""
 
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -15,6 +15,7 @@
   6. starting over  every start begins clean, asks for the list and binds each proxy as it joins
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
 
@@ -34,6 +35,10 @@
 STALLS = 2.5  # agreed times that a proxy may stand still between two tries
 CALM = 0.5  # the load on the fleet below which a further try follows any failure
 COMES = 3  # times that a client is taken to come with an exchange that is refused each time
+PACE = 0.5  # the part of its usual pace that the channel is trusted to keep
+RECEIPTS = 64  # serials in use
+MUST = -1e9  # the rank from which on a change is a drain, a death or a cold endpoint's fall
+ORDINARY, JOINS, ALL = 0.4, 0.5, 0.95  # what ordinary changes, joins and all may fill of the channel's limit
 OUT_MOST = 0.5  # the part of the listed endpoints that health may shut out
 
 
@@ -57,6 +62,7 @@
     good_probes: int = 0
     out: bool = False
     sent: dict[int, int] = field(default_factory=dict)  # slots by table, as ordered
+    withdrawn: bool = False  # kept out of all tables by order
 
 
 @dataclass(slots=True)
@@ -100,9 +106,11 @@
         self.learnt_ms = 0.0
         self.joined_ms = float("-inf")  # when a proxy last came with another pilot's orders
         self.moved_ms = float("-inf")  # when one last came so, or went
-        self.pushed_ms = float("-inf")
+        self.pushes: list[float] = []  # when messages went to all, of late
         self.counted_ms = 0.0
-        self.waiting = 0.0  # lines that may still wait in the channel
+        self.written = self.left = 0.0  # lines that went into the channel, and that surely left it
+        self.serial = 0
+        self.receipts: dict[int, list[float]] = {}  # lines written before, and a message, by serial
         self.urgent = False  # an endpoint drained, died or started, or a proxy moved here
         self.ask = False  # the list must be asked for again
         self.wake_ms = float("-inf")
@@ -136,6 +144,8 @@
         for proxy, joined, zone, usual, fresh in incoming.streams:
             self.take_stream(proxy, joined, zone, usual, fresh, now)
         self.take_reports(incoming)
+        for serial in incoming.receipts:
+            self.take_receipt(serial)
         due = now >= self.turn_ms
         if due:
             self.measure(now)
@@ -150,7 +160,6 @@
             self.turn_ms = now + TURN_MS
             orders.wake(TURN, self.turn_ms)
         self.push(now, due, orders)
-        self.bind(orders)
 
     # what came in
 
@@ -168,8 +177,8 @@
             if zone not in self.zones:
                 self.zones.append(zone)
             if record is None or started_ms > record.started_ms:
-                sent = record.sent if record else {}
-                record = Endpoint(zone, False, listed, started_ms, sent=sent)
+                sent, withdrawn = (record.sent, record.withdrawn) if record else ({}, False)
+                record = Endpoint(zone, False, listed, started_ms, sent=sent, withdrawn=withdrawn)
                 self.endpoints[endpoint] = record
                 self.urgent = True
             ready = state == "in_service"
@@ -398,68 +407,125 @@
         return tables
 
     def push(self, now: float, due: bool, orders: Orders) -> None:
-        """Send the differences: at the turn, or sooner where an endpoint drained, died or restarted."""
-        rate = self.facts.channel_rate / 1000.0
-        self.waiting = max(0.0, self.waiting - rate * (now - self.counted_ms) * 0.5)
-        self.counted_ms = now
-        most, over = self.facts.messages_most, self.facts.messages_over_ms
-        gap = over / most * 1.2 if most else 0.0
-        if not (due or self.urgent):
-            return
-        if now < self.pushed_ms + gap:
-            if self.wake_ms < now:
-                self.wake_ms = self.pushed_ms + gap
-                orders.wake(URGENT, self.wake_ms)
-            return
-        crowded = self.waiting > self.facts.lines_waiting_most * 0.5
-        lines = 0
-        for table, zone, classes in self.tables():
-            users = sum(1 for p in self.proxies.values() if p.bound and zone in (None, p.zone))
-            lines += users * self.send_table(now, table, zone, crowded, orders)
-            lines += users * self.send_levels(table, classes, crowded, orders)
-        if lines:
-            self.pushed_ms = now
-            self.waiting += lines + self.facts.lines_per_message * len(self.proxies)
-        self.urgent = False
-
-    def send_table(self, now: float, table: int, zone: str | None, crowded: bool, orders: Orders) -> int:
-        """Drains and deaths first; while the channel is crowded, else only news and what falls by half."""
-        slots = self.slots(now, zone)
-        lines = 0
-        for endpoint, record in self.endpoints.items():
-            before, wanted = record.sent.get(table, 0), slots.get(endpoint, 0)
-            if not wanted and before:
-                orders.line(table, endpoint, 0)
-                del record.sent[table]
-                lines += 1
-        for endpoint, wanted in slots.items():
-            before = self.endpoints[endpoint].sent.get(table, 0)
-            if abs(wanted - before) > RESEND * before and not (crowded and wanted > before / 2 > 0):
-                orders.line(table, endpoint, wanted)
-                self.endpoints[endpoint].sent[table] = wanted
-                lines += 1
-        return lines
+        """Drains, deaths and cold falls at once, joins as the channel has room, at the turn what moved most.
 
-    def send_levels(self, table: int, classes: list[int], crowded: bool, orders: Orders) -> int:
+        Found at full size: one table reaches all, so the joins of a start alone overran the channel.  What
+        waits is what was written, less what receipts or half the usual pace say has left; where receipts
+        are late, changes wait longer than they need.
+        """
+        facts = self.facts
+        drained = PACE * facts.channel_rate / 1000.0 * (now - self.counted_ms)
+        self.left, self.counted_ms = min(self.written, self.left + drained), now
+        self.pushes = [at for at in self.pushes if now - at < 1.1 * facts.messages_over_ms]
+        most = facts.messages_most or float("inf")
+        before, messages = self.written, 0
+        crowded = self.written - self.left > JOINS * (facts.lines_waiting_most or float("inf"))
+        # A third of the messages that one proxy may get, and two for a join, are kept for drains.
+        if (due and len(self.pushes) < 0.6 * most) or (
+            self.urgent and not crowded and len(self.pushes) < most - 2
+        ):
+            self.urgent = False
+            messages += self.send(now, orders)
+            self.pushes += [now] * (messages > 0)
+        messages += self.bind(orders)
+        waits = self.urgent or not all(proxy.bound for proxy in self.proxies.values())
+        if waits and self.wake_ms <= now:
+            self.wake_ms = now + 0.2 * TURN_MS
+            orders.wake(URGENT, self.wake_ms)
+        if messages:
+            self.written += messages
+            self.serial = (self.serial + 1) % RECEIPTS
+            self.receipts[self.serial] = [before, (self.written - before) / messages]
+            orders.receipt(self.serial)
+
+    def take_receipt(self, serial: int) -> None:
+        """Messages leave in order: so many receipts, so many messages and all that was written before."""
+        if serial in self.receipts:
+            self.receipts[serial][0] += self.receipts[serial][1]
+            self.left = max(self.left, min(self.written, self.receipts[serial][0]))
+
+    def send(self, now: float, orders: Orders) -> int:
+        """Write the differences between what is wanted and what was sent; returns the messages they make."""
+        tables = self.tables()
+        users = {
+            table: sum(1 for p in self.proxies.values() if p.bound and zone in (None, p.zone))
+            for table, zone, _ in tables
+        }
+        joined, bound = len(self.proxies), sum(1 for p in self.proxies.values() if p.bound)
+        wanted = {table: self.slots(now, zone) for table, zone, _ in tables}
+        lines = sum(users[table] * self.send_levels(table, classes, orders) for table, _, classes in tables)
+        messages = bound if lines else 0
+        changes = sorted(self.changes(now, wanted), key=lambda change: change[0])
+        most = self.facts.lines_waiting_most or float("inf")
+        taken = self.written - self.left + self.facts.lines_per_message * joined
+        for rank, endpoint, moves, out in changes:
+            record = self.endpoints[endpoint]
+            cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
+            if taken + lines + cost > most * (ORDINARY if rank > MUST else ALL):
+                self.urgent |= rank <= MUST  # not even these may overrun the channel: the rest comes soon
+                continue
+            messages = max(messages, joined if out != record.withdrawn else bound if cost else 0)
+            lines += cost
+            for table, want in moves.items():
+                orders.line(table, endpoint, want)
+                record.sent[table] = want
+                if not want:
+                    del record.sent[table]
+            if out != record.withdrawn:
+                orders.withdraw(endpoint, out)
+                record.withdrawn = out
+        self.written += lines + self.facts.lines_per_message * messages
+        return messages
+
+    def changes(self, now: float, wanted: dict[int, dict[int, int]]) -> Iterator[tuple]:
+        """What should be sent of each endpoint: rank, endpoint, slots by table, whether it is to be out.
+
+        What no table wants is withdrawn: one line a proxy, and it holds for tables of any origin.
+        """
+        for endpoint, record in self.endpoints.items():
+            want = {table: slots.get(endpoint, 0) for table, slots in wanted.items()}
+            out = not any(want.values())
+            if out and not record.withdrawn and (record.sent or not record.ready):
+                slots = sum(record.sent.values())
+                yield -slots if record.ready else MUST - slots, endpoint, {}, True
+            elif not out:
+                had = record.sent
+                moves = {t: n for t, n in want.items() if abs(n - had.get(t, 0)) > RESEND * had.get(t, 0)}
+                falls = any(n < had.get(t, 0) for t, n in moves.items()) and self.capacity(record, now) < 1.0
+                if moves or record.withdrawn:
+                    moved = max((abs(n - had.get(t, 0)) for t, n in moves.items()), default=1)
+                    yield MUST if falls else -moved, endpoint, moves, False
+
+    def send_levels(self, table: int, classes: list[int], orders: Orders) -> int:
         lines = 0
         for place in classes:
             row = self.classes[place]
             level, tries = row.sent.get(table, (0.0, -1))
-            if tries >= 0 and (crowded or (row.tries == tries and abs(row.level - level) <= RESEND * level)):
+            if tries >= 0 and row.tries == tries and abs(row.level - level) <= RESEND * level:
                 continue
             orders.level(table, [place], row.level, row.tries)
             row.sent[table] = (row.level, row.tries)
             lines += 1
         return lines
 
-    def bind(self, orders: Orders) -> None:
-        for number, proxy in self.proxies.items():
-            if proxy.bound:
-                continue
-            proxy.bound = True
-            for table, zone, classes in self.tables():
-                if zone in (None, proxy.zone):
-                    orders.bind(number, table, classes)
-                    held = sum(1 for r in self.endpoints.values() if table in r.sent)
-                    self.waiting += 1 + held + len(classes)
-            self.waiting += self.facts.lines_per_message
+    def bind(self, orders: Orders) -> int:
+        """Put joined proxies on the calendar, those that bring most first; the others keep what they hold."""
+        unbound = [(sum(p.arrives), number) for number, p in self.proxies.items() if not p.bound]
+        most = (self.facts.lines_waiting_most or float("inf")) * JOINS
+        messages = 0
+        for _, number in sorted(unbound, reverse=True):
+            zone = self.proxies[number].zone
+            mine = [(table, classes) for table, where, classes in self.tables() if where in (None, zone)]
+            cost = self.facts.lines_per_message + sum(
+                1 + len(classes) + sum((table in r.sent) * (1 + r.withdrawn) for r in self.endpoints.values())
+                for table, classes in mine
+            )
+            waiting = self.written - self.left
+            if waiting and waiting + cost > most:
+                break
+            for table, classes in mine:
+                orders.bind(number, table, classes)
+            self.proxies[number].bound = True
+            self.written += cost
+            messages += 1
+        return messages
--- a/quillstep/wirehost/host.py
+++ b/quillstep/wirehost/host.py
@@ -114,6 +114,8 @@
                 place, whole(found, "agent"), whole(found, "many"), whole(found, "errors"),
                 decode.ms(found, "covers"),
             ))  # fmt: skip
+        elif name == "applied":
+            incoming.receipts.append(whole(found, "serial"))
         elif name == "health":
             incoming.probes.append((
                 whole(found, "endpoint"), found["disposition"] == "done",
--- a/quillstep/wirehost/orders.py
+++ b/quillstep/wirehost/orders.py
@@ -20,6 +20,9 @@
     def line(self, table: int, endpoint: int, weight: float) -> None:
         self._write("set_line", f" mapId={table} endpoint={endpoint} part={weight:g}")
 
+    def withdraw(self, endpoint: int, out: bool) -> None:
+        self._write("cordon", f" endpoint={endpoint} active={int(out)}")
+
     def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
         self._write("install", f" agent={proxy} mapId={table} classBits={_bits(classes)}")
 
@@ -30,6 +33,9 @@
     def probe(self, endpoint: int) -> None:
         self._write("health_check", f" endpoint={endpoint}")
 
+    def receipt(self, serial: int) -> None:
+        self._write("ask_receipt", f" active=0 serial={serial}")
+
     def watch_list(self) -> None:
         self._write("track", " active=1")
 
