A crowded channel sends the rest of the drains in larger pieces

Cause: on the full-size channel test a turn wrote one drain line with heads for 250 proxies, and drains took 6 s.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -417,13 +417,12 @@
         drained = PACE * facts.channel_rate / 1000.0 * (now - self.counted_ms)
         self.left, self.counted_ms = min(self.written, self.left + drained), now
         self.pushes = [at for at in self.pushes if now - at < 1.1 * facts.messages_over_ms]
-        most = facts.messages_most or float("inf")
-        before, messages = self.written, 0
+        # Few lines at a time cost more in heads than they carry: the rest waits for half of the room.
         crowded = self.written - self.left > JOINS * (facts.lines_waiting_most or float("inf"))
-        # A third of the messages that one proxy may get, and two for a join, are kept for drains.
-        if (due and len(self.pushes) < 0.6 * most) or (
-            self.urgent and not crowded and len(self.pushes) < most - 2
-        ):
+        # Of the messages that one proxy may get, four in ten are kept for drains, the last two for joins.
+        most = (facts.messages_most or float("inf")) * (1.0 if self.urgent else 0.6) - 2.0 * self.urgent
+        before, messages = self.written, 0
+        if (due or self.urgent) and not crowded and len(self.pushes) < most:
             self.urgent = False
             messages += self.send(now, orders)
             self.pushes += [now] * (messages > 0)
