Rate caps rise while less than allowed gets in and there is room

Change: a factor on rate caps, 5% up a turn while less than allowed gets in below 0.7 load and tries are in time (twice at most), down as fast, halved in a storm. Guards also against clients that come less often than taken; harms for a turn or two when a storm begins with caps raised.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -30,7 +30,9 @@
 OPEN_RATE = 1e6  # a rate level that lets all in
 SETTLE = 5  # turns until reports show what a proxy that came or went has changed
 TARGET = 0.85  # the load on the fleet that levels aim at
+IDLE = 0.7  # the load on the fleet below which levels need not hold
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
+QUICK = 0.35  # the same of an endpoint below which a lost answer counts as work done
 KEEPS = 0.7  # what is kept of the smoothed arrivals after a turn
 STALLS = 2.5  # agreed times that a proxy may stand still between two tries
 CALM = 0.5  # the load on the fleet below which a further try follows any failure
@@ -96,6 +98,7 @@
         self.proxies: dict[int, Proxy] = {}
         self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
+        self.gain = 1.0  # what must be let in to get what is allowed, over that
         self.fit = 1.0  # the part of the offered work that is let in
         self.pressure = 0.0  # mean load of the endpoints in use
         self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
@@ -108,6 +111,7 @@
         self.moved_ms = float("-inf")  # when one last came so, or went
         self.pushes: list[float] = []  # when messages went to all, of late
         self.counted_ms = 0.0
+        self.room = facts.lines_waiting_most or float("inf")
         self.written = self.left = 0.0  # lines that went into the channel, and that surely left it
         self.serial = 0
         self.receipts: dict[int, list[float]] = {}  # lines written before, and a message, by serial
@@ -116,12 +120,9 @@
         self.wake_ms = float("-inf")
 
     def class_row(self, row: ClassFacts) -> ClassLevel:
-        """After proof that a try never ran all may try again; after any failure only where a repeat is safe.
-
-        A keyed repeat must reach endpoints that share the key, while they still drop it: after the wait, a
-        stall of the proxy and the way of an order.
-        """
+        """After proof that a try never ran all may try again; after any failure where a repeat is safe."""
         wait_ms = self.facts.try_factor * row.agreed_ms
+        # A keyed repeat must be dropped still after the wait, a stall of the proxy and the way of an order.
         held_ms = wait_ms + STALLS * row.agreed_ms + self.facts.order_late_most_ms
         shares_key = row.scope == "all" or (row.scope == "zone" and row.home_only)
         keyed = row.semantics == "keyed" and shares_key and row.window_ms >= held_ms
@@ -144,8 +145,6 @@
         for proxy, joined, zone, usual, fresh in incoming.streams:
             self.take_stream(proxy, joined, zone, usual, fresh, now)
         self.take_reports(incoming)
-        for serial in incoming.receipts:
-            self.take_receipt(serial)
         due = now >= self.turn_ms
         if due:
             self.measure(now)
@@ -217,6 +216,11 @@
             record.load = report.get("util", record.load) if answered else 1.0
             record.bad_probes = 0 if answered else record.bad_probes + 1
             record.good_probes = record.good_probes + 1 if answered else 0
+        for serial in incoming.receipts:
+            # Messages leave in order: so many receipts, so many messages and all that was written before.
+            answered = self.receipts.get(serial, [0.0, 0.0])
+            answered[0] += answered[1]
+            self.left = max(self.left, min(self.written, answered[0]))
         for place, proxy, arrived, _, covers_ms in incoming.arrivals:
             record = self.proxies.get(proxy)
             if record and covers_ms > 0:
@@ -230,24 +234,25 @@
         return [sum(p.arrives[place] for p in self.proxies.values()) for place in range(len(self.classes))]
 
     def first_arrivals(self) -> list[float]:
-        """What arrives for the first time; levels that count what is refused and comes again open late.
-
-        Where clients come less often than taken here, levels open too far and strain takes it back.
-        """
+        """What arrives for the first time; levels that count what is refused and comes again open late."""
         again = [sum((1.0 - row.part) ** time for time in range(COMES)) for row in self.classes]
         return [each / times for each, times in zip(self.arrives(), again, strict=True)]
 
     def measure(self, now: float) -> None:
         """What all sums since the last turn say of the whole fleet."""
-        tries = sum(record.tries for record in self.endpoints.values())
         arrives = self.arrives()
-        if tries and sum(arrives):
-            work = [each * row.agreed_ms for each, row in zip(arrives, self.facts.classes, strict=True)]
-            agreed = sum(work) / sum(arrives)
-            spent = sum(r.good_ms + r.failed * agreed for r in self.endpoints.values())
+        work = sum(each * row.agreed_ms for each, row in zip(arrives, self.facts.classes, strict=True))
+        agreed = work / sum(arrives) if sum(arrives) else 0.0
+        tries = spent = done = 0.0
+        for record in self.endpoints.values():
+            good = record.tries - record.failed
+            tries += record.tries
+            spent += record.good_ms + record.failed * agreed
+            # Where the answers that come are quick, one that is lost was work all the same.
+            quick = record.good_ms < QUICK * agreed * good and (record.busy or 0.0) < TARGET
+            done += record.tries if quick else good
+        if tries and agreed:
             self.slowness += 0.5 * (spent / tries / agreed - self.slowness)
-        # An answer that is lost was work all the same; where an endpoint is full or most fail it is not.
-        done = sum(r.tries - r.failed * ((r.busy or 0.0) >= TARGET) for r in self.endpoints.values())
         self.flow += 0.5 * (1000.0 * done / max(1.0, now - self.learnt_ms) - self.flow)
         self.learnt_ms = now
 
@@ -259,8 +264,7 @@
                 record.load = 1.0  # it takes tries and answers none: no figure will come to say so
             if record.load is not None:
                 load = min(1.0, max(0.0, record.load))
-                # Failing tries count as load: where most fail, for whatever reason, there is no room, even
-                # if the few answers that bring a report show some.  Wide but harmless failing costs a little.
+                # Failing tries count as load: where most fail is no room, whatever the few answers show.
                 seen = max(load, failing)
                 record.busy = seen if record.busy is None else record.busy + 0.7 * (seen - record.busy)
                 payoff = (1.0 - load) * (1.0 - failing) ** 2
@@ -290,15 +294,13 @@
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
         moving = now - self.moved_ms < SETTLE * TURN_MS
         if warm and (moving or not self.unit or self.fit < 1.0 or self.strain > TARGET):
-            # In a storm, or where one may be on, proxies avoid so many endpoints that a cold one left to
-            # them gets it all: it waits until it is warm, or calm is back.
+            # In a storm proxies avoid so many endpoints that a cold one gets all: it waits for calm.
             usable = warm
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
-        hold = max(1.0, self.strain)
         for endpoint, record in usable.items():
             if endpoint not in warm:
-                capped = mean * self.capacity(record, now) / hold
+                capped = mean * self.capacity(record, now) / max(1.0, self.strain)
                 weights[endpoint] = min(weights[endpoint], capped)
         return weights
 
@@ -339,15 +341,12 @@
         """Sums suggest it, probes confirm it: as many failures in a row as a proxy bears, two bad probes."""
         return record.silent >= max(1, self.facts.ejects) and record.bad_probes >= 2
 
-    def usable(self, now: float) -> float:
-        """The listed capacity in reach, cold endpoints by what they surely have."""
-        return sum((record.listed or 1.0) * self.capacity(record, now) for record in self.reached())
-
     def set_levels(self, now: float, due: bool) -> None:
         """Move the part of the work that is let in, and share it out over classes and proxies."""
-        usable = self.usable(now)
+        reached = self.reached()
+        usable = sum((r.listed or 1.0) * self.capacity(r, now) for r in reached)
         if due:
-            busy = [r.busy for r in self.reached() if r.busy is not None]
+            busy = [r.busy for r in reached if r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
             self.strain = self.pressure * (max(1.0, self.slowness / SLOW) if self.pressure > 0.8 else 1.0)
             if self.strain > 0.0 and self.flow > 0.0 and usable:
@@ -358,8 +357,12 @@
         allowed = TARGET * self.unit * usable / max(1.0, self.strain)
         # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
         joined = now - self.joined_ms < SETTLE * TURN_MS
-        likely = joined or self.strain > 0.7 or self.fit < 1.0
+        likely = joined or self.strain > IDLE or self.fit < 1.0
         self.fit = min(1.0, allowed / arrives) if likely and self.unit and arrives else 1.0
+        if self.strain > IDLE or self.slowness > SLOW:
+            self.gain = 1.0 + 0.5 * (self.gain - 1.0)
+        elif due and self.fit < 1.0:
+            self.gain = min(2.0, max(1.0, self.gain * (1.05 if self.flow < allowed else 0.95)))
         if not self.unit:  # nothing is measured yet: let in as much as is left of the list
             self.fit = usable / (sum(r.listed or 1.0 for r in self.endpoints.values()) or 1.0)
         loads = [each * row.agreed_ms for each, row in zip(first, self.facts.classes, strict=True)]
@@ -390,7 +393,9 @@
             return part
         if part >= 1.0:
             return OPEN_RATE
-        left = part * sum(proxy.arrives[place] for proxy in self.proxies.values())
+        # Found at full size: a cap at many small proxies lets in less than its sum, for what comes to each is
+        # uneven; from that little the capacity was learnt, and half was refused at 0.6 load.
+        left = self.gain * part * sum(proxy.arrives[place] for proxy in self.proxies.values())
         rates = sorted(proxy.arrives[place] for proxy in self.proxies.values())
         for at, rate in enumerate(rates):
             if rate * (len(rates) - at) >= left:
@@ -410,16 +415,15 @@
     def push(self, now: float, due: bool, orders: Orders) -> None:
         """Drains, deaths and cold falls at once, joins as the channel has room, at the turn what moved most.
 
-        Found at full size: one table reaches all, so the joins of a start alone overran the channel.  What
-        waits is what was written, less what receipts or half the usual pace say has left; where receipts
-        are late, changes wait longer than they need.
+        Found at full size: the joins of a start alone overran the channel.  What waits there is what was
+        written less what has left by receipts, or at half the usual pace where they are late.
         """
         facts = self.facts
         drained = PACE * facts.channel_rate / 1000.0 * (now - self.counted_ms)
         self.left, self.counted_ms = min(self.written, self.left + drained), now
         self.pushes = [at for at in self.pushes if now - at < 1.1 * facts.messages_over_ms]
         # Few lines at a time cost more in heads than they carry: the rest waits for half of the room.
-        crowded = self.written - self.left > JOINS * (facts.lines_waiting_most or float("inf"))
+        crowded = self.written - self.left > JOINS * self.room
         # Of the messages that one proxy may get, four in ten are kept for drains, the last two for joins.
         most = (facts.messages_most or float("inf")) * (1.0 if self.urgent else 0.6) - 2.0 * self.urgent
         before, messages = self.written, 0
@@ -438,30 +442,21 @@
             self.receipts[self.serial] = [before, (self.written - before) / messages]
             orders.receipt(self.serial)
 
-    def take_receipt(self, serial: int) -> None:
-        """Messages leave in order: so many receipts, so many messages and all that was written before."""
-        if serial in self.receipts:
-            self.receipts[serial][0] += self.receipts[serial][1]
-            self.left = max(self.left, min(self.written, self.receipts[serial][0]))
-
     def send(self, now: float, orders: Orders) -> int:
         """Write the differences between what is wanted and what was sent; returns the messages they make."""
         tables = self.tables()
-        users = {
-            table: sum(1 for p in self.proxies.values() if p.bound and zone in (None, p.zone))
-            for table, zone, _ in tables
-        }
-        joined, bound = len(self.proxies), sum(1 for p in self.proxies.values() if p.bound)
+        zones = [proxy.zone for proxy in self.proxies.values() if proxy.bound]
+        users = {table: zones.count(zone) if zone else len(zones) for table, zone, _ in tables}
+        joined, bound = len(self.proxies), len(zones)
         wanted = {table: self.slots(now, zone) for table, zone, _ in tables}
         lines = sum(users[table] * self.send_levels(table, classes, orders) for table, _, classes in tables)
         messages = bound if lines else 0
         changes = sorted(self.changes(now, wanted), key=lambda change: change[0])
-        most = self.facts.lines_waiting_most or float("inf")
         taken = self.written - self.left + self.facts.lines_per_message * joined
         for rank, endpoint, moves, out in changes:
             record = self.endpoints[endpoint]
             cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
-            if taken + lines + cost > most * (ORDINARY if rank > MUST else ALL):
+            if taken + lines + cost > self.room * (ORDINARY if rank > MUST else ALL):
                 self.urgent |= rank <= MUST  # not even these may overrun the channel: the rest comes soon
                 continue
             messages = max(messages, joined if out != record.withdrawn else bound if cost else 0)
@@ -469,8 +464,6 @@
             for table, want in moves.items():
                 orders.line(table, endpoint, want)
                 record.sent[table] = want
-                if not want:
-                    del record.sent[table]
             if out != record.withdrawn:
                 orders.withdraw(endpoint, out)
                 record.withdrawn = out
@@ -513,21 +506,21 @@
     def bind(self, orders: Orders) -> int:
         """Put joined proxies on the calendar, those that bring most first; the others keep what they hold."""
         unbound = [(sum(p.arrives), number) for number, p in self.proxies.items() if not p.bound]
-        most = (self.facts.lines_waiting_most or float("inf")) * JOINS
+        tables = self.tables() if unbound else []
+        size = {}
+        for table, _, classes in tables:
+            held = sum(1 + r.withdrawn for r in self.endpoints.values() if r.sent.get(table))
+            size[table] = 1 + len(classes) + held
         messages = 0
         for _, number in sorted(unbound, reverse=True):
-            zone = self.proxies[number].zone
-            mine = [(table, classes) for table, where, classes in self.tables() if where in (None, zone)]
-            cost = self.facts.lines_per_message + sum(
-                1 + len(classes) + sum((table in r.sent) * (1 + r.withdrawn) for r in self.endpoints.values())
-                for table, classes in mine
-            )
-            waiting = self.written - self.left
-            if waiting and waiting + cost > most:
+            proxy = self.proxies[number]
+            mine = [(table, classes) for table, zone, classes in tables if zone in (None, proxy.zone)]
+            cost = self.facts.lines_per_message + sum(size[table] for table, _ in mine)
+            if self.left < self.written and self.written - self.left + cost > JOINS * self.room:
                 break
             for table, classes in mine:
                 orders.bind(number, table, classes)
-            self.proxies[number].bound = True
+            proxy.bound = True
             self.written += cost
             messages += 1
         return messages
