--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -329,7 +329,7 @@
 
 @pytest.mark.parametrize(("util", "gain"), [(0.6, 1.05), (0.8, 1.0)])
 def test_rate_caps_rise_while_less_than_allowed_gets_in_and_there_is_room(util, gain):
-    # found on leon-cotiza-later: half was refused at 0.6 load; caps at uneven proxies let in less than their sum
+    # found on leon-cotiza-later: half was refused at 0.6 load, as caps let in less than their sum
     pilot = Pilot(facts(admission="rate"), entries=[entry(1), entry(2)])
     pilot.settle(util=util)
     pilot.planner.fit, pilot.planner.flow = 0.5, 1.0
