Joins fill the channel only as far as receipts lag at full pace

Change: joins fill at most channel pace times the longest way of an order (half of the limit at most). Guards any drain behind joins; harms where receipts take longer than told: joins then pause.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -121,9 +121,8 @@
 
     def class_row(self, row: ClassFacts) -> ClassLevel:
         """After proof that a try never ran all may try again; after any failure where a repeat is safe."""
-        wait_ms = self.facts.try_factor * row.agreed_ms
         # A keyed repeat must be dropped still after the wait, a stall of the proxy and the way of an order.
-        held_ms = wait_ms + STALLS * row.agreed_ms + self.facts.order_late_most_ms
+        held_ms = (self.facts.try_factor + STALLS) * row.agreed_ms + self.facts.order_late_most_ms
         shares_key = row.scope == "all" or (row.scope == "zone" and row.home_only)
         keyed = row.semantics == "keyed" and shares_key and row.window_ms >= held_ms
         calm_tries = 2 if row.semantics == "safe" or keyed else 1
@@ -507,6 +506,8 @@
         """Put joined proxies on the calendar, those that bring most first; the others keep what they hold."""
         unbound = [(sum(p.arrives), number) for number, p in self.proxies.items() if not p.bound]
         tables = self.tables() if unbound else []
+        # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
+        window = min(JOINS * self.room, self.facts.channel_rate * self.facts.order_late_most_ms / 1000.0)
         size = {}
         for table, _, classes in tables:
             held = sum(1 + r.withdrawn for r in self.endpoints.values() if r.sent.get(table))
@@ -516,7 +517,7 @@
             proxy = self.proxies[number]
             mine = [(table, classes) for table, zone, classes in tables if zone in (None, proxy.zone)]
             cost = self.facts.lines_per_message + sum(size[table] for table, _ in mine)
-            if self.left < self.written and self.written - self.left + cost > JOINS * self.room:
+            if self.left < self.written and self.written - self.left + cost > window:
                 break
             for table, classes in mine:
                 orders.bind(number, table, classes)
