Between turns only drains, deaths and cold falls are sent; cold ones wait less

Changes: what is not a drain, a death or a cold endpoint's fall or withdrawal waits for the turn; new endpoints are not urgent.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -138,7 +138,7 @@
             orders.wake(TURN, self.turn_ms)
             if self.facts.list_on_request:
                 orders.watch_list()
-            self.learnt_ms = self.moved_ms = now
+            self.learnt_ms, self.moved_ms, self.urgent = now, now, True
         for kind, entries in incoming.lists:
             self.take_list(kind, entries)
         for proxy, joined, zone, usual, fresh in incoming.streams:
@@ -176,11 +176,11 @@
                 self.zones.append(zone)
             if record is None or started_ms > record.started_ms:
                 sent, withdrawn = (record.sent, record.withdrawn) if record else ({}, False)
-                record = Endpoint(zone, False, listed, started_ms, sent=sent, withdrawn=withdrawn)
+                record = Endpoint(zone, bool(sent), listed, started_ms, sent=sent, withdrawn=withdrawn)
                 self.endpoints[endpoint] = record
-                self.urgent = True
+                self.urgent |= bool(sent) and not withdrawn
             ready = state == "in_service"
-            self.urgent |= ready != record.ready
+            self.urgent |= record.ready and not ready
             record.ready, record.listed = ready, listed
 
     def take_stream(
@@ -292,7 +292,7 @@
         mean_q = self.mean_q()
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
         moving = now - self.moved_ms < SETTLE * TURN_MS
-        if warm and (moving or not self.unit or self.fit < 1.0 or self.strain > TARGET):
+        if warm and (moving or not self.unit or self.strain > (TARGET if self.fit == 1.0 else IDLE)):
             # In a storm proxies avoid so many endpoints that a cold one gets all: it waits for calm.
             usable = warm
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
@@ -333,7 +333,7 @@
                 orders.probe(endpoint)
 
     def reached(self) -> list[Endpoint]:
-        """The endpoints that our proxies can use; a pilot that is cut off may reach fewer than may be out."""
+        """The endpoints that our proxies can use, also where no more may be shut out."""
         return [r for r in self.endpoints.values() if r.ready and not r.out and not self.lost(r)]
 
     def lost(self, record: Endpoint) -> bool:
@@ -421,14 +421,13 @@
         drained = PACE * facts.channel_rate / 1000.0 * (now - self.counted_ms)
         self.left, self.counted_ms = min(self.written, self.left + drained), now
         self.pushes = [at for at in self.pushes if now - at < 1.1 * facts.messages_over_ms]
-        # Few lines at a time cost more in heads than they carry: the rest waits for half of the room.
         crowded = self.written - self.left > JOINS * self.room
         # Of the messages that one proxy may get, four in ten are kept for drains, the last two for joins.
         most = (facts.messages_most or float("inf")) * (1.0 if self.urgent else 0.6) - 2.0 * self.urgent
         before, messages = self.written, 0
         if (due or self.urgent) and not crowded and len(self.pushes) < most:
             self.urgent = False
-            messages += self.send(now, orders)
+            messages += self.send(now, due, orders)
             self.pushes += [now] * (messages > 0)
         messages += self.bind(orders)
         waits = self.urgent or not all(proxy.bound for proxy in self.proxies.values())
@@ -441,7 +440,7 @@
             self.receipts[self.serial] = [before, (self.written - before) / messages]
             orders.receipt(self.serial)
 
-    def send(self, now: float, orders: Orders) -> int:
+    def send(self, now: float, due: bool, orders: Orders) -> int:
         """Write the differences between what is wanted and what was sent; returns the messages they make."""
         tables = self.tables()
         zones = [proxy.zone for proxy in self.proxies.values() if proxy.bound]
@@ -455,6 +454,8 @@
         for rank, endpoint, moves, out in changes:
             record = self.endpoints[endpoint]
             cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
+            if cost and rank > MUST and not due:
+                continue  # between turns heads would cost more than what they carry
             if taken + lines + cost > self.room * (ORDINARY if rank > MUST else ALL):
                 self.urgent |= rank <= MUST  # not even these may overrun the channel: the rest comes soon
                 continue
@@ -477,18 +478,17 @@
         for endpoint, record in self.endpoints.items():
             want = {table: slots.get(endpoint, 0) for table, slots in wanted.items()}
             out = not any(want.values())
+            weak = not record.ready or self.capacity(record, now) < 1.0
             if out and not record.withdrawn and (record.sent or not record.ready):
-                slots = sum(record.sent.values())
-                yield -slots if record.ready else MUST - slots, endpoint, {}, True
+                yield MUST * weak - sum(record.sent.values()), endpoint, {}, True
             elif not out:
                 had = record.sent
                 moves = {t: n for t, n in want.items() if abs(n - had.get(t, 0)) > RESEND * had.get(t, 0)}
-                falls = any(n < had.get(t, 0) for t, n in moves.items()) and self.capacity(record, now) < 1.0
+                falls = weak and any(n < had.get(t, 0) for t, n in moves.items())
                 if moves or record.withdrawn:
-                    moved = max((abs(n - had.get(t, 0)) for t, n in moves.items()), default=0)
                     # One that comes back does so with few slots, and yet brings a whole endpoint.
-                    moved = max(moved, SLOTS) if record.withdrawn else moved
-                    yield MUST if falls else -moved, endpoint, moves, False
+                    moved = max(SLOTS * record.withdrawn, *(abs(n - had.get(t, 0)) for t, n in want.items()))
+                    yield MUST * falls - moved, endpoint, moves, False
 
     def send_levels(self, table: int, classes: list[int], orders: Orders) -> int:
         lines = 0
