New and returning endpoints go before changes; what is not in use is not counted

Changes: an endpoint that comes or comes back ranks by three times its slots; load and capacity count only endpoints that are sent and not withdrawn. Guards any lack of channel room; harms where many return at once and sick ones wait to fall.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -210,8 +210,7 @@
             record = self.endpoints.get(endpoint)
             if record is None:
                 continue
-            # No answer to a probe is read as full: a deep probe waits in the queue like an exchange, and a
-            # full endpoint that falls silent would otherwise keep its last, lower figure.
+            # Else a full endpoint that falls silent would keep its last, lower figure.
             record.load = report.get("util", record.load) if answered else 1.0
             record.bad_probes = 0 if answered else record.bad_probes + 1
             record.good_probes = record.good_probes + 1 if answered else 0
@@ -313,8 +312,6 @@
     def judge(self, now: float, orders: Orders) -> None:
         """Shut out what fails far more than its fellows and fails its probes; ask the probes due."""
         ready = {e: r for e, r in self.endpoints.items() if r.ready}
-        if not ready:
-            return
         room = int(len(ready) * OUT_MOST) - sum(record.out for record in ready.values())
         # Where those that answer are full too, it is overload and not a fault of the silent.
         least = max(1, self.facts.ejects)
@@ -333,8 +330,12 @@
                 orders.probe(endpoint)
 
     def reached(self) -> list[Endpoint]:
-        """The endpoints that our proxies can use, also where no more may be shut out."""
-        return [r for r in self.endpoints.values() if r.ready and not r.out and not self.lost(r)]
+        """The endpoints that our proxies can use, also where no more may be shut out.
+
+        Found on i263a7f: half waited for room in the channel, idle, and hid that the others were full.
+        """
+        ready = [r for r in self.endpoints.values() if r.ready and not r.out and not self.lost(r)]
+        return [r for r in ready if r.sent and not r.withdrawn] or ready
 
     def lost(self, record: Endpoint) -> bool:
         """Sums suggest it, probes confirm it: as many failures in a row as a proxy bears, two bad probes."""
@@ -486,8 +487,9 @@
                 moves = {t: n for t, n in want.items() if abs(n - had.get(t, 0)) > RESEND * had.get(t, 0)}
                 falls = weak and any(n < had.get(t, 0) for t, n in moves.items())
                 if moves or record.withdrawn:
-                    # One that comes back does so with few slots, and yet brings a whole endpoint.
-                    moved = max(SLOTS * record.withdrawn, *(abs(n - had.get(t, 0)) for t, n in want.items()))
+                    # One that comes or comes back has few slots at first, and yet brings a whole endpoint.
+                    whole = 3 * SLOTS * (record.withdrawn or not had)
+                    moved = max(whole, *(abs(n - had.get(t, 0)) for t, n in want.items()))
                     yield MUST * falls - moved, endpoint, moves, False
 
     def send_levels(self, table: int, classes: list[int], orders: Orders) -> int:
@@ -495,11 +497,10 @@
         for place in classes:
             row = self.classes[place]
             level, tries = row.sent.get(table, (0.0, -1))
-            if tries >= 0 and row.tries == tries and abs(row.level - level) <= RESEND * level:
-                continue
-            orders.level(table, [place], row.level, row.tries)
-            row.sent[table] = (row.level, row.tries)
-            lines += 1
+            if row.tries != tries or abs(row.level - level) > RESEND * level:
+                orders.level(table, [place], row.level, row.tries)
+                row.sent[table] = (row.level, row.tries)
+                lines += 1
         return lines
 
     def bind(self, orders: Orders) -> int:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -347,3 +347,17 @@
     pilot.round(lists=[("partial", [entry(1, state="terminating"), entry(9)])], after=300.0)
     assert [order for order in pilot.orders if order[0] in ("line", "withdraw")] == [("withdraw", 1, True)]
     assert {2, 9} <= {order[2] for order in pilot.turn() if order[0] == "line"}
+
+
+def test_what_is_new_goes_before_changes_and_counts_once_it_is_sent():
+    # found as i263a7f: replacements waited for room behind changes; idle, they hid that all others were full
+    pilot = Pilot(facts(lines_waiting_most=500.0, channel_rate=100.0), [entry(at) for at in range(30)], 10)
+    pilot.settle(util=0.9, turns=40)
+    pilot.round(after=20000.0)
+    for at in range(30):
+        pilot.record(at).q = 0.5 + at / 30.0
+    pilot.round(lists=[("partial", [entry(at) for at in range(50, 70)])])
+    assert len(pilot.planner.reached()) == 30 and pilot.planner.pressure > 0.8
+    pilot.turn()
+    lines = [order[2] for order in pilot.orders if order[0] == "line"]
+    assert lines and min(lines) >= 50 and len(pilot.planner.reached()) == 30 + len(lines)
