Proxies that join while some are withdrawn get a piece of the calendar first

Change: while any endpoint is withdrawn, each joining proxy first gets a table of its own with as many lines as a standing table, every n-th of the calendar with the calendar's slots; the calendar follows, heaviest proxy first. Zones come from the settings. Guards any mass of joins with stale tables; harms the evenness of load for some seconds.

--- a/quillstep/interface.py
+++ b/quillstep/interface.py
@@ -25,6 +25,7 @@
     """What holds from a start to the next; a figure that was not told is 0, empty or false."""
 
     classes: list[ClassFacts] = field(default_factory=list)
+    zones: list[str] = field(default_factory=list)
     slices: int = 0
     list_on_request: bool = False
     may_probe: bool = False
@@ -33,6 +34,7 @@
     base_mode: int = 0  # the further tries that proxies make where none are ordered
     try_factor: float = 0.0
     ejects: int = 0  # a proxy avoids an endpoint after this many of its own failures in a row; 0: never
+    standing: int = 0  # the most endpoints in the table that a proxy starts with
     report_every_ms: float = 0.0
     channel_rate: float = 0.0  # lines a second
     lines_per_message: float = 0.0
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -25,6 +25,7 @@
 TURN_MS = 1000.0  # the design's turn, and the window over which changes are gathered
 SLOTS = 10  # calendar slots for each listed endpoint
 RESEND = 0.1  # a slot count is sent again after moving by more than this part of what was sent
+PIECES = 1000  # from here on tables hold a piece of the calendar for one proxy
 SHARED = 0  # the calendar's table; a zone's table for home-only classes is 1 + the zone's place
 TURN, URGENT = 1, 2  # wake tokens
 OPEN_RATE = 1e6  # a rate level that lets all in
@@ -73,7 +74,8 @@
 
     zone: str
     arrives: list[float]
-    bound: bool = False
+    pieced: bool = False  # on a piece of the calendar
+    bound: bool = False  # on the calendar
 
 
 @dataclass(slots=True)
@@ -96,28 +98,23 @@
         self.draw = Random(seed).random
         self.endpoints: dict[int, Endpoint] = {}
         self.proxies: dict[int, Proxy] = {}
-        self.zones: list[str] = []
         self.classes = [self.class_row(row) for row in facts.classes]
         self.gain = 1.0  # what must be let in to get what is allowed, over that
         self.fit = 1.0  # the part of the offered work that is let in
-        self.pressure = 0.0  # mean load of the endpoints in use
+        self.pressure = self.strain = 0.0  # mean load of what is in use; above 1 where tries are late too
         self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
         self.flow = 0.0  # tries a second that our proxies had answered, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
-        self.strain = 0.0  # load on the fleet, above 1 where full endpoints are late as well
         self.turn_ms: float | None = None
-        self.learnt_ms = 0.0
-        self.joined_ms = float("-inf")  # when a proxy last came with another pilot's orders
-        self.moved_ms = float("-inf")  # when one last came so, or went
+        self.learnt_ms = self.counted_ms = 0.0
+        # When a proxy last went or came with another pilot's orders, when one last came so, the next wake.
+        self.moved_ms = self.joined_ms = self.wake_ms = float("-inf")
         self.pushes: list[float] = []  # when messages went to all, of late
-        self.counted_ms = 0.0
         self.room = facts.lines_waiting_most or float("inf")
         self.written = self.left = 0.0  # lines that went into the channel, and that surely left it
         self.serial = 0
         self.receipts: dict[int, list[float]] = {}  # lines written before, and a message, by serial
-        self.urgent = False  # an endpoint drained, died or started, or a proxy moved here
-        self.ask = False  # the list must be asked for again
-        self.wake_ms = float("-inf")
+        self.urgent = self.ask = False  # news that can't wait for the turn; the list must be asked for again
 
     def class_row(self, row: ClassFacts) -> ClassLevel:
         """After proof that a try never ran all may try again; after any failure where a repeat is safe."""
@@ -154,8 +151,7 @@
         if due:
             if self.ask:
                 orders.watch_list()
-            self.ask = False
-            self.turn_ms = now + TURN_MS
+            self.ask, self.turn_ms = False, now + TURN_MS
             orders.wake(TURN, self.turn_ms)
         self.push(now, due, orders)
 
@@ -172,8 +168,6 @@
                     record.ready, self.urgent = False, True
         for endpoint, zone, state, listed, started_ms in entries:
             record = self.endpoints.get(endpoint)
-            if zone not in self.zones:
-                self.zones.append(zone)
             if record is None or started_ms > record.started_ms:
                 sent, withdrawn = (record.sent, record.withdrawn) if record else ({}, False)
                 record = Endpoint(zone, bool(sent), listed, started_ms, sent=sent, withdrawn=withdrawn)
@@ -183,14 +177,10 @@
             self.urgent |= record.ready and not ready
             record.ready, record.listed = ready, listed
 
-    def take_stream(
-        self, proxy: int, joined: bool, zone: str, usual: float, fresh: bool, now: float
-    ) -> None:
+    def take_stream(self, proxy: int, joined: bool, zone: str, usual: float, fresh: bool, now: float) -> None:
         if self.proxies.pop(proxy, None):
             self.moved_ms = now
         if joined:
-            if zone not in self.zones:
-                self.zones.append(zone)
             each = usual / max(1, len(self.classes))
             self.proxies[proxy] = Proxy(zone, [each] * len(self.classes))
             if not fresh:
@@ -198,22 +188,18 @@
 
     def take_reports(self, incoming: Incoming) -> None:
         for endpoint, tries, failed, mean_ms, _, report in incoming.sums:
-            record = self.endpoints.get(endpoint)
-            if record is None:
-                continue
-            record.tries += tries
-            record.failed += failed
-            record.silent = record.silent + failed if failed >= tries else 0
-            record.good_ms += mean_ms * (tries - failed)
-            record.load = report.get("util", record.load)
+            if record := self.endpoints.get(endpoint):
+                record.tries += tries
+                record.failed += failed
+                record.silent = record.silent + failed if failed >= tries else 0
+                record.good_ms += mean_ms * (tries - failed)
+                record.load = report.get("util", record.load)
         for endpoint, answered, _, report in incoming.probes:
-            record = self.endpoints.get(endpoint)
-            if record is None:
-                continue
-            # Else a full endpoint that falls silent would keep its last, lower figure.
-            record.load = report.get("util", record.load) if answered else 1.0
-            record.bad_probes = 0 if answered else record.bad_probes + 1
-            record.good_probes = record.good_probes + 1 if answered else 0
+            if record := self.endpoints.get(endpoint):
+                # Else a full endpoint that falls silent would keep its last, lower figure.
+                record.load = report.get("util", record.load) if answered else 1.0
+                record.bad_probes = 0 if answered else record.bad_probes + 1
+                record.good_probes = record.good_probes + 1 if answered else 0
         for serial in incoming.receipts:
             # Messages leave in order: so many receipts, so many messages and all that was written before.
             answered = self.receipts.get(serial, [0.0, 0.0])
@@ -409,7 +395,7 @@
         shared = [place for place in range(len(self.classes)) if place not in homes]
         tables: list[tuple[int, str | None, list[int]]] = [(SHARED, None, shared)] if shared else []
         if homes:
-            tables += [(1 + at, zone, homes) for at, zone in enumerate(self.zones)]
+            tables += [(1 + at, zone, homes) for at, zone in enumerate(self.facts.zones)]
         return tables
 
     def push(self, now: float, due: bool, orders: Orders) -> None:
@@ -504,25 +490,37 @@
         return lines
 
     def bind(self, orders: Orders) -> int:
-        """Put joined proxies on the calendar, those that bring most first; the others keep what they hold."""
-        unbound = [(sum(p.arrives), number) for number, p in self.proxies.items() if not p.bound]
-        tables = self.tables() if unbound else []
+        """Put joined proxies on the calendar, those that bring most first; the others keep what they hold.
+
+        Found on i2d06fb: proxies of a lost zone came back with dead endpoints alone, too many to bind soon.
+        While some are withdrawn each gets a piece of the calendar first, on which load is less even.
+        """
+        unbound = sorted(((sum(p.arrives), n) for n, p in self.proxies.items() if not p.bound), reverse=True)
+        gone = any(record.withdrawn for record in self.endpoints.values())
+        pieces = [number for _, number in unbound if gone and not self.proxies[number].pieced]
         # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
         window = min(JOINS * self.room, self.facts.channel_rate * self.facts.order_late_most_ms / 1000.0)
-        size = {}
-        for table, _, classes in tables:
-            held = sum(1 + r.withdrawn for r in self.endpoints.values() if r.sent.get(table))
-            size[table] = 1 + len(classes) + held
+        size = self.facts.standing if pieces else len(self.endpoints)  # about what a join writes
         messages = 0
-        for _, number in sorted(unbound, reverse=True):
-            proxy = self.proxies[number]
-            mine = [(table, classes) for table, zone, classes in tables if zone in (None, proxy.zone)]
-            cost = self.facts.lines_per_message + sum(size[table] for table, _ in mine)
-            if self.left < self.written and self.written - self.left + cost > window:
+        for number in pieces or [number for _, number in unbound]:
+            if self.left < self.written and self.written - self.left + size > window:
                 break
-            for table, classes in mine:
-                orders.bind(number, table, classes)
-            proxy.bound = True
-            self.written += cost
+            proxy = self.proxies[number]
+            for table, zone, classes in self.tables():
+                if zone not in (None, proxy.zone):
+                    continue
+                held = {e: r for e, r in self.endpoints.items() if r.sent.get(table)}
+                own = table
+                if pieces:
+                    usable = [endpoint for endpoint, record in held.items() if not record.withdrawn]
+                    step = max(1, len(usable) // max(1, self.facts.standing))
+                    held = {endpoint: held[endpoint] for endpoint in usable[number % step :: step]}
+                    own = PIECES + number * (1 + len(self.facts.zones)) + table
+                    for endpoint, record in held.items():
+                        orders.line(own, endpoint, record.sent[table])
+                orders.bind(number, own, classes)
+                self.written += 1 + len(classes) + sum(1 + record.withdrawn for record in held.values())
+            proxy.pieced, proxy.bound = True, not pieces
+            self.written += self.facts.lines_per_message
             messages += 1
         return messages
--- a/quillstep/wirehost/decode.py
+++ b/quillstep/wirehost/decode.py
@@ -104,6 +104,7 @@
         )
     facts = StartFacts(
         classes=classes,
+        zones=[zone for zone in found.get("zones", "").split(",") if zone],
         slices=whole(found, "specifics.slices"),
         list_on_request=found.get("discovery") == "on_request",
         may_probe=yes(found, "allowed.probing"),
@@ -112,6 +113,7 @@
         base_mode=whole(found, "specifics.baseMode"),
         try_factor=number(found, "specifics.tryFactor"),
         ejects=whole(found, "specifics.ejects"),
+        standing=whole(found, "specifics.standing"),
         report_every_ms=ms(found, "specifics.reportEvery"),
         channel_rate=number(found, "specifics.channelRate"),
         lines_per_message=number(found, "specifics.perMessage"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
         "classes": [class_facts(), class_facts("unsafe", 3.0)], "may_probe": True, "admission": "share",
         "channel_rate": 3000.0, "lines_per_message": 6.0, "lines_waiting_most": 5000.0, "start_capacity": 0.2,
         "warm_after_ms": 18000.0, "fall_multiple": 3.0, "ejects": 5, "try_factor": 0.8,
-        "order_late_most_ms": 800.0,
+        "order_late_most_ms": 800.0, "standing": 5, "zones": ["a", "b"],
     }  # fmt: skip
     return StartFacts(**{**base, **other})
 
@@ -80,7 +80,7 @@
     """A pilot's channel, counted line by line; each message that leaves is answered with its receipt."""
 
     def __init__(self, pilot, pace):
-        self.pilot, self.pace, self.queue, self.most = pilot, pace, [], 0.0
+        self.pilot, self.pace, self.queue, self.most, self.held = pilot, pace, [], 0.0, {}
         self.take(pilot.first)
 
     def round(self, after, **incoming):
@@ -94,11 +94,16 @@
         return self.pilot.orders
 
     def take(self, orders):
-        records = self.pilot.planner.endpoints.values()
-        whole = sum(1 + record.withdrawn for record in records if record.sent)
-        joins = {order[1]: 1 + len(order[3]) + whole for order in orders if order[0] == "bind"}
+        joins = {}
+        for order in orders:
+            if order[0] == "line":
+                self.held.setdefault(order[1], set()).add(order[2])
+            if order[0] == "bind":
+                held = sum(1 + self.pilot.record(endpoint).withdrawn for endpoint in self.held[order[2]])
+                joins[order[1]] = joins.get(order[1], 0) + 1 + len(order[3]) + held
         toggles = sum(order[0] == "withdraw" for order in orders)
-        changes = sum(order[0] in ("line", "level") for order in orders)
+        pieces = self.pilot.rules.PIECES
+        changes = sum(order[0] in ("line", "level") and order[1] < pieces for order in orders)
         for number, proxy in self.pilot.planner.proxies.items():
             cost = joins.get(number, changes if proxy.bound else 0) + toggles
             if cost:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -361,3 +361,18 @@
     pilot.turn()
     lines = [order[2] for order in pilot.orders if order[0] == "line"]
     assert lines and min(lines) >= 50 and len(pilot.planner.reached()) == 30 + len(lines)
+
+
+def test_proxies_that_join_while_some_are_out_get_a_piece_of_the_calendar_first():
+    # found as i2d06fb: proxies of a lost zone came back with dead endpoints alone
+    limits = facts(channel_rate=2700.0, lines_waiting_most=4200.0, lines_per_message=3.0)
+    pilot = Pilot(limits, entries=[entry(at, zone="ab"[at % 2]) for at in range(100)], proxies=0)
+    pilot.round(lists=[("partial", [entry(at, state="terminated") for at in range(20)])])
+    channel = Channel(pilot, 1.0)
+    for at in range(14):
+        channel.round(100.0, streams=[(n, True, "b", 5.0, True) for n in range(100)] if at == 0 else [])
+        binds = [order for order in pilot.orders if order[0] == "bind"]
+        for _, proxy, table, _ in binds if at == 0 else []:
+            piece = channel.held[table]
+            assert table >= pilot.rules.PIECES and 5 <= len(piece) <= 10 and min(piece) >= 20, proxy
+    assert all(proxy.pieced for proxy in pilot.planner.proxies.values()) and channel.most < 4200.0
