Raise the learning rate to 0.15; drains leave a tenth of the channel free

Cause: at full size sums tell of an endpoint every second to third turn, so Q moved too slowly at 0.1.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -21,7 +21,7 @@
 
 from quillstep.interface import ClassFacts, Incoming, Orders, StartFacts
 
-ALPHA, GAMMA = 0.1, 0.1  # the update's learning and discount rate
+ALPHA, GAMMA = 0.15, 0.1  # the update's learning and discount rate
 TURN_MS = 1000.0  # the design's turn, and the window over which changes are gathered
 SLOTS = 10  # calendar slots for each listed endpoint
 RESEND = 0.1  # a slot count is sent again after moving by more than this part of what was sent
@@ -41,7 +41,7 @@
 PACE = 0.5  # the part of its usual pace that the channel is trusted to keep
 RECEIPTS = 64  # serials in use
 MUST = -1e9  # the rank from which on a change is a drain, a death or a cold endpoint's fall
-ORDINARY, JOINS, ALL = 0.4, 0.5, 0.95  # what ordinary changes, joins and all may fill of the channel's limit
+ORDINARY, JOINS, ALL = 0.4, 0.5, 0.9  # what ordinary changes, joins and all may fill of the channel's limit
 OUT_MOST = 0.8  # the part of the listed endpoints that health may shut out
 
 
