--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -74,7 +74,7 @@
 
     zone: str
     arrives: list[float]
-    pieced: bool = False  # on a piece of the calendar
+    pieces: list[list[int]] = field(default_factory=list)  # the endpoints of its pieces of the calendar
     bound: bool = False  # on the calendar
 
 
@@ -438,12 +438,13 @@
         messages = bound if lines else 0
         changes = sorted(self.changes(now, wanted), key=lambda change: change[0])
         taken = self.written - self.left + self.facts.lines_per_message * joined
+        ordinary = ORDINARY if bound == joined else 0.5 * ORDINARY  # joins go before changes
         for rank, endpoint, moves, out in changes:
             record = self.endpoints[endpoint]
             cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
             if cost and rank > MUST and not due:
-                continue  # between turns heads would cost more than what they carry
-            if taken + lines + cost > self.room * (ORDINARY if rank > MUST else ALL):
+                continue
+            if taken + lines + cost > self.room * (ordinary if rank > MUST else ALL):
                 self.urgent |= rank <= MUST  # not even these may overrun the channel: the rest comes soon
                 continue
             messages = max(messages, joined if out != record.withdrawn else bound if cost else 0)
@@ -480,8 +481,7 @@
 
     def send_levels(self, table: int, classes: list[int], orders: Orders) -> int:
         lines = 0
-        for place in classes:
-            row = self.classes[place]
+        for place, row in ((place, self.classes[place]) for place in classes):
             level, tries = row.sent.get(table, (0.0, -1))
             if row.tries != tries or abs(row.level - level) > RESEND * level:
                 orders.level(table, [place], row.level, row.tries)
@@ -492,12 +492,12 @@
     def bind(self, orders: Orders) -> int:
         """Put joined proxies on the calendar, those that bring most first; the others keep what they hold.
 
-        Found on i2d06fb: proxies of a lost zone came back with dead endpoints alone, too many to bind soon.
-        While some are withdrawn each gets a piece of the calendar first, on which load is less even.
+        Found on i2d06fb, ia78055: many held none but dead endpoints, after a zone was lost or in a release.  One
+        that may have none left gets a piece of the calendar first; load is less even then.
         """
         unbound = sorted(((sum(p.arrives), n) for n, p in self.proxies.items() if not p.bound), reverse=True)
-        gone = any(record.withdrawn for record in self.endpoints.values())
-        pieces = [number for _, number in unbound if gone and not self.proxies[number].pieced]
+        gone = {endpoint for endpoint, record in self.endpoints.items() if record.withdrawn}
+        pieces = [number for _, number in unbound if gone and self.bare(self.proxies[number], gone)]
         # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
         window = min(JOINS * self.room, self.facts.channel_rate * self.facts.order_late_most_ms / 1000.0)
         size = self.facts.standing if pieces else len(self.endpoints)  # about what a join writes
@@ -506,21 +506,25 @@
             if self.left < self.written and self.written - self.left + size > window:
                 break
             proxy = self.proxies[number]
+            proxy.pieces, proxy.bound = [], not pieces
             for table, zone, classes in self.tables():
                 if zone not in (None, proxy.zone):
                     continue
-                held = {e: r for e, r in self.endpoints.items() if r.sent.get(table)}
-                own = table
+                held = [endpoint for endpoint, record in self.endpoints.items() if record.sent.get(table)]
+                own = PIECES + number * (1 + len(self.facts.zones)) + table if pieces else table
                 if pieces:
-                    usable = [endpoint for endpoint, record in held.items() if not record.withdrawn]
+                    usable = [endpoint for endpoint in held if endpoint not in gone]
                     step = max(1, len(usable) // max(1, self.facts.standing))
-                    held = {endpoint: held[endpoint] for endpoint in usable[number % step :: step]}
-                    own = PIECES + number * (1 + len(self.facts.zones)) + table
-                    for endpoint, record in held.items():
-                        orders.line(own, endpoint, record.sent[table])
+                    held = usable[number % step :: step]
+                    for endpoint in held:
+                        orders.line(own, endpoint, self.endpoints[endpoint].sent[table])
+                    proxy.pieces.append(held)
                 orders.bind(number, own, classes)
-                self.written += 1 + len(classes) + sum(1 + record.withdrawn for record in held.values())
-            proxy.pieced, proxy.bound = True, not pieces
+                self.written += 1 + len(classes) + len(held) + len(gone.intersection(held))
             self.written += self.facts.lines_per_message
             messages += 1
         return messages
+
+    def bare(self, proxy: Proxy, gone: set[int]) -> bool:
+        """Whether all endpoints of a proxy's piece, or all that it came with, may be withdrawn."""
+        return not proxy.pieces or any(piece and gone.issuperset(piece) for piece in proxy.pieces)
