--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -492,7 +492,7 @@
     def bind(self, orders: Orders) -> int:
         """Put joined proxies on the calendar, those that bring most first; the others keep what they hold.
 
-        Found on i2d06fb, ia78055: many held none but dead endpoints, after a zone was lost or in a release.  One
+        Found on i2d06fb and ia78055: many held none but dead endpoints after a zone loss or release.  One
         that may have none left gets a piece of the calendar first; load is less even then.
         """
         unbound = sorted(((sum(p.arrives), n) for n, p in self.proxies.items() if not p.bound), reverse=True)
