Cold endpoints wait while tries are late or fail on the whole

Change: lateness above half the agreed time, failures counted as whole, is a storm for cold endpoints too.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -276,9 +276,10 @@
         warm = {e: r for e, r in usable.items() if self.capacity(r, now) >= 1.0}
         moving = now - self.moved_ms < SETTLE * TURN_MS
         joining = not all(proxy.bound for proxy in self.proxies.values())
-        storm = moving or not self.unit or self.strain > (TARGET if self.fit == 1.0 else IDLE)
-        if joining or warm and storm:
-            # In a storm a cold one gets all that avoids others; tables before a join give it its full part.
+        full = self.strain > (TARGET if self.fit == 1.0 else IDLE) or self.slowness > SLOW
+        # In a storm a cold one gets all that avoids others; it is told by load or, as on h8c6833, by tries
+        # that fail or are late.  Tables before a join give a cold one its full part.
+        if joining or warm and (moving or not self.unit or full):
             usable = warm
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
@@ -500,8 +501,7 @@
         pieces = [number for _, number in unbound if gone and self.bare(self.proxies[number], gone)]
         # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
         window = min(JOINS * self.room, self.facts.channel_rate * self.facts.order_late_most_ms / 1000.0)
-        size = self.facts.standing if pieces else len(self.endpoints)  # about what a join writes
-        messages = 0
+        size, messages = self.facts.standing if pieces else len(self.endpoints), 0  # about what a join writes
         for number in pieces or [number for _, number in unbound]:
             if self.left < self.written and self.written - self.left + size > window:
                 break
@@ -526,5 +526,5 @@
         return messages
 
     def bare(self, proxy: Proxy, gone: set[int]) -> bool:
-        """Whether all endpoints of a proxy's piece, or all that it came with, may be withdrawn."""
+        """Whether all of a proxy's piece, or all that it came with, may be withdrawn."""
         return not proxy.pieces or any(piece and gone.issuperset(piece) for piece in proxy.pieces)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -283,6 +283,14 @@
     assert pilot.planner.fit < 1.0 and 1 not in pilot.slots()
 
 
+def test_a_cold_endpoint_waits_while_many_tries_fail():
+    # found on gdl-agro-later (h8c6833): connections were squeezed and proxies avoided all but the cold ones
+    pilot = Pilot(facts(), entries=[entry(1), entry(2), entry(3)])
+    pilot.settle(util=0.5, failed=4)
+    pilot.turn(lists=[("partial", [entry(1, started=pilot.now)])])
+    assert pilot.planner.strain < 0.7 and pilot.planner.fit == 1.0 and 1 not in pilot.slots()
+
+
 @pytest.mark.parametrize(("part", "first"), [(1.0, 20.0), (0.5, 20.0 / 1.75), (0.0, 20.0 / 3.0)])
 def test_refused_exchanges_are_not_counted_each_time_they_come(part, first):
     # found as i3d9171: half was refused for 15 s though endpoints stood idle, as repeats looked like demand
