--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# `make demo` sets everything up and plays the bad day; `make test` sets everything up and runs all checks.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test install clean
+
+demo: $(STAMP)
+	$(PYTHON) -m quillstep.cli --log-level warning day examples/days/bad-day.cue --record .day
+
+test: $(STAMP)
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+	$(PYTHON) -m pytest -q
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements-dev.txt
+	$(VENV)/bin/pip -q install --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) .day
--- /dev/null
+++ b/quillstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/quillstep/cli/main.py
@@ -0,0 +1,116 @@
+"""`quillstep`: one pilot, a scripted day, checks and measurements."""
+
+import os
+import sys
+import threading
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from quillstep.cli import logs
+from quillstep.settings import DayRecord, Fault, PilotRecord, load
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option(
+    "--log", "form", type=click.Choice(["auto", "human", "json"]), default="auto", help="Form of log lines."
+)
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+@click.version_option(package_name=None, version="0.2.0", prog_name="quillstep")
+def cli(form: str, log_level: str) -> None:
+    """A central planner behind a layer of plain proxies."""
+    logs.set_up(form, log_level)
+
+
+def checked(kind: type, path: str) -> Any:
+    try:
+        return load(kind, path)
+    except Fault as fault:
+        click.echo(f"quillstep: {fault}", err=True)
+        sys.exit(2)
+
+
+@cli.command()
+@click.option("--settings", required=True, type=click.Path(), help="The pilot's record, a .cue file.")
+@click.option("--with-parent", is_flag=True, help="End when standard input does.")
+def pilot(settings: str, with_parent: bool) -> None:
+    """Run one pilot until it is told to stop."""
+    record = checked(PilotRecord, settings)
+    from quillstep.pilot.service import Pilot
+
+    try:
+        running = Pilot(record)
+    except OSError as trouble:
+        click.echo(f"quillstep: {record.listen}: {trouble.strerror}", err=True)
+        sys.exit(2)
+    click.echo(msgspec.json.encode({"ready": running.server.address}).decode())
+    sys.stdout.flush()
+    if with_parent:
+        threading.Thread(target=_end_with_input, daemon=True, args=(running.stop,)).start()
+    try:
+        running.run()
+    except KeyboardInterrupt:
+        running.server.stop()
+
+
+def _end_with_input(stop: Any) -> None:
+    sys.stdin.buffer.read()
+    stop()
+    threading.Timer(5.0, os._exit, (0,)).start()
+
+
+@cli.command()
+@click.argument("script", type=click.Path())
+@click.option("--record", "folder", type=click.Path(), default=".day", help="Where the sockets' record goes.")
+@click.option("--arm", "arms", multiple=True, help="Only these: learnt, standing, even, listed.")
+@click.option("--seed", type=int, help="Another seed than the script's.")
+def day(script: str, folder: str, arms: tuple[str, ...], seed: int | None) -> None:
+    """Play a scripted day on loopback and judge the five rules from the sockets' record.
+
+    The last line of standard output is one JSON object.
+    """
+    record = checked(DayRecord, script)
+    if seed is not None:
+        record = record.model_copy(update={"seed": seed})
+    from quillstep.day.children import ChildError
+    from quillstep.day.run import play_day
+
+    try:
+        found = play_day(record, Path(folder), list(arms) or None)
+    except ChildError as trouble:
+        click.echo(f"quillstep: {trouble}", err=True)
+        sys.exit(1)
+    show(found)
+    click.echo(msgspec.json.encode(found).decode())
+    sys.exit(1 if found["rules_broken"] else 0)
+
+
+def show(found: dict[str, Any]) -> None:
+    """The outcome as a table, on standard error."""
+    table = Table(title=f"{found['day']}: service (loopback)")
+    table.add_column("arm")
+    table.add_column("service", justify="right")
+    table.add_row("quillstep", f"{found['service']:.3f}")
+    for name, value in found["baselines"].items():
+        table.add_row(name, f"{value:.3f}")
+    console = Console(stderr=True)
+    console.print(table)
+    for broken in found["breaks"]:
+        console.print(f"broken: {broken}")
+
+
+@cli.command()
+@click.argument("kind", type=click.Choice(["pilot", "day"]))
+@click.argument("path", type=click.Path())
+def check(kind: str, path: str) -> None:
+    """Check a settings file and say what is wrong with it."""
+    checked({"pilot": PilotRecord, "day": DayRecord}[kind], path)
+    click.echo(f"{path}: a sound {kind} record")
+
+
+def main() -> None:
+    cli(prog_name="quillstep")
--- /dev/null
+++ b/quillstep/day/run.py
@@ -0,0 +1,213 @@
+"""Plays a day: one arm with the pilots under test, one for each baseline, side by side, from the same plan."""
+
+import os
+import shutil
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from quillstep.day.children import Child
+from quillstep.day.plan import Plan, plan
+from quillstep.day.service import service
+from quillstep.rulecheck import Evidence, judge, longest_channel, read_evidence, slowest_drain
+from quillstep.settings import DayRecord, PilotRecord
+
+SETTLE_S = 60.0
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+class Arm:
+    """One fleet with its pilots: `decides` as in a pilot's settings, or "standing" for none at all."""
+
+    def __init__(self, day: DayRecord, made: Plan, decides: str, folder: Path) -> None:
+        self.day, self.made, self.decides, self.folder = day, made, decides, folder
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        self.children: list[Child] = []
+        self.pilots: list[Child | None] = []
+        self.addresses: list[str] = []
+        self.ports: dict[int, int] = {}
+        self.hosts: dict[int, Child] = {}
+        self.proxies: dict[str, Child] = {}
+        self.log = structlog.get_logger("day").bind(arm=decides)
+
+    def child(self, name: str, *arguments: str) -> Child:
+        made = Child(name, list(arguments), self.folder)
+        self.children.append(made)
+        return made
+
+    # setting up
+
+    def start(self) -> None:
+        self.start_endpoints()
+        self.start_roster()
+        count = 0 if self.decides == "standing" else self.day.pilots
+        self.pilots = [None] * count
+        self.addresses = ["127.0.0.1:0"] * count
+        for at in range(count):
+            self.start_pilot(at)
+        self.start_proxies()
+
+    def start_endpoints(self) -> None:
+        fleet = self.day.fleet
+        shared = any(row.scope == "all" for row in fleet.classes)
+        groups = [list(fleet.zones)] if shared else [[zone] for zone in fleet.zones]
+        for at, zones in enumerate(groups):
+            rows = [row for row in self.made.endpoints if row["zone"] in zones]
+            host = self.child(f"endpoints-{at}", "quillstep.standins.endpoints")
+            host.say(
+                endpoints=rows, rules=fleet.rules.model_dump(), record=str(self.folder / f"endpoints-{at}.jsonl"),
+                classes=[row.model_dump() for row in fleet.classes], answers_tell=not fleet.probes.load_only_here,
+            )  # fmt: skip
+            for number, port in host.wait_for("ready").items():
+                self.ports[int(number)] = port
+                self.hosts[int(number)] = host
+
+    def start_roster(self) -> None:
+        self.roster = self.child("roster", "quillstep.standins.roster")
+        rows = [{**row, "port": self.ports[row["id"]]} for row in self.made.endpoints]
+        self.roster.say(
+            endpoints=rows, late_ms=self.day.roster_late_ms, seed=self.day.seed,
+            record=str(self.folder / "roster-0.jsonl"),
+        )  # fmt: skip
+        self.roster_address = self.roster.wait_for("ready")
+
+    def start_pilot(self, at: int) -> None:
+        """Start or start over a pilot, on the address that it had."""
+        record = PilotRecord(
+            name=f"pilot-{at}", seed=self.day.seed + at, listen=self.addresses[at], roster=self.roster_address,
+            decides=self.decides, fleet=self.day.fleet, limits=self.day.limits,  # type: ignore[arg-type]
+            record=str(self.folder / f"pilot-{at}.jsonl"),
+        )  # fmt: skip
+        path = self.folder / f"pilot-{at}.cue"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(record.model_dump())))  # JSON is CUE
+        pilot = self.child(f"pilot-{at}", "quillstep.cli", "pilot", "--settings", str(path), "--with-parent")
+        self.addresses[at] = pilot.wait_for("ready")
+        self.pilots[at] = pilot
+
+    def start_proxies(self) -> None:
+        day = self.day
+        count = min(day.proxy_processes, len(self.made.proxies))
+        for at in range(count):
+            rows = []
+            for row in self.made.proxies[at::count]:
+                standing = [[number, self.ports[number]] for number in row["standing"]]
+                pilots = [self.addresses[k] for k in row["pilots"]] if self.addresses else []
+                rows.append({**row, "standing": standing, "pilots": pilots})
+            host = self.child(f"proxies-{at}", "quillstep.standins.proxies")
+            host.say(
+                proxies=rows, seed=day.seed, seconds=day.seconds, knobs=day.fleet.proxies.model_dump(),
+                phases=[phase.model_dump() for phase in day.phases], record=str(self.folder / f"proxies-{at}.jsonl"),
+                classes=[row.model_dump() for row in day.fleet.classes],
+            )  # fmt: skip
+            self.proxies.update({row["name"]: host for row in rows})
+        for host in set(self.proxies.values()):
+            host.wait_for("ready")
+
+    # playing
+
+    def play(self, begin_ms: float) -> None:
+        """Carry the plan out; every part keeps to the same clock."""
+        hosts = list(dict.fromkeys(self.proxies.values()))
+        for host in hosts:
+            host.say(do="run", begin_ms=begin_ms)
+        for at_s, part, command in self.made.steps:
+            wait = begin_ms + at_s * 1000.0 - now_ms()
+            if wait > 0:
+                time.sleep(wait / 1000.0)
+            self.step(part, dict(command))
+        for host in hosts:
+            while host.wait_for("done", self.day.seconds + SETTLE_S) != "script":
+                pass
+
+    def step(self, part: str, command: dict[str, Any]) -> None:
+        self.log.info("step", part=part, **command)
+        if part == "endpoint":
+            self.hosts[command["endpoint"]].say(**command)
+        elif part == "proxy":
+            self.proxies[command["proxy"]].say(**command)
+        elif part == "roster":
+            if command.pop("began", False):
+                command.update(began=now_ms(), started_ms=time.time() * 1000.0)
+            self.roster.say(**command)
+        elif self.pilots:
+            self.pilot_step(command["do"], command["pilot"])
+
+    def pilot_step(self, do: str, at: int) -> None:
+        pilot = self.pilots[at]
+        if do == "pilot_kill" and pilot:
+            pilot.kill()
+            self.pilots[at] = None
+        elif do == "pilot_kill_over":
+            threading.Thread(target=self.start_pilot, args=(at,), daemon=True).start()
+        elif pilot and do == "pilot_stall":
+            os.kill(pilot.process.pid, signal.SIGSTOP)
+        elif pilot and do == "pilot_stall_over":
+            os.kill(pilot.process.pid, signal.SIGCONT)
+
+    def stop(self) -> None:
+        for child in reversed(self.children):
+            child.stop()
+
+    def evidence(self) -> Evidence:
+        rows = self.made.endpoints
+        found = Evidence(
+            self.day.fleet,
+            addresses={f"127.0.0.1:{self.ports[row['id']]}": row["id"] for row in rows},
+            zones={row["id"]: row["zone"] for row in rows},
+            sizes={row["id"]: row["cores"] * row["speed"] for row in rows},
+            homes={row["name"]: row["zone"] for row in self.made.proxies},
+            pilots={address: f"pilot-{at}" for at, address in enumerate(self.addresses)},
+        )
+        return read_evidence(self.folder, found)
+
+
+def play_day(day: DayRecord, folder: Path, arms: list[str] | None = None) -> dict[str, Any]:
+    """Play all arms at once and judge them; the result is what the last line of `quillstep day` says."""
+    names = ["learnt", *day.baselines] if arms is None else arms
+    made = plan(day)
+    played = [Arm(day, made, name, folder / name) for name in names]
+    try:
+        with ThreadPoolExecutor(len(played)) as pool:
+            list(pool.map(lambda arm: arm.start(), played))
+            begin_ms = now_ms() + day.warm_up_s * 1000.0
+            list(pool.map(lambda arm: arm.play(begin_ms), played))
+    finally:
+        for arm in played:
+            arm.stop()
+    found = {arm.decides: arm.evidence() for arm in played}
+    return result(day, found)
+
+
+def result(day: DayRecord, found: dict[str, Evidence]) -> dict[str, Any]:
+    """Rules and service of the pilots under test, service of the baselines."""
+    main = found["learnt"] if "learnt" in found else next(iter(found.values()))
+    breaks = judge(main)
+    kinds = [row["what"] for row in main.sent]
+    served = service(day.fleet, main.exchanges)
+    baselines = {
+        name: service(day.fleet, e.exchanges)["service"] for name, e in found.items() if e is not main
+    }
+    return {
+        "day": day.name,
+        "rules_broken": len(breaks),
+        "breaks": [found._asdict() for found in breaks[:20]],
+        **served,
+        "baselines": baselines,
+        "versions": {
+            "sent": kinds.count("send"), "acknowledged": kinds.count("ack"), "refused": kinds.count("nack"),
+            "lines": sum(row["lines"] for row in main.sent if row["what"] == "send"),
+            "bytes": sum(row["bytes"] for row in main.sent if row["what"] == "send"),
+        },
+        "longest_channel": round(longest_channel(main), 1),
+        "slowest_drain_ms": round(slowest_drain(main), 1),
+    }  # fmt: skip
--- /dev/null
+++ b/quillstep/pilot/core.py
@@ -0,0 +1,200 @@
+"""The pilot without I/O: news in, rounds of the module, orders into tables and channel.  Time is an argument.
+
+The same core runs on sockets in real time and wherever else news and a clock are passed in.
+"""
+
+import heapq
+from collections.abc import Iterable
+from typing import Any
+
+import structlog
+
+from quillstep.interface import Incoming
+from quillstep.pilot.baselines import EvenPlanner, ListedPlanner
+from quillstep.pilot.channel import Channel
+from quillstep.pilot.intake import Intake
+from quillstep.rules import Planner
+from quillstep.settings import PilotRecord, start_facts
+from quillstep.tables import Tables
+
+PLANNERS: dict[str, Any] = {"learnt": Planner, "even": EvenPlanner, "listed": ListedPlanner}
+ORDERS_KEPT = 4096  # whose times are remembered
+INTAKE_PART = 0.5  # of the report period between two hand-overs
+
+
+class Core:
+    """Gathers news, calls the module once a round with all of it, and lets pushes leave the channel."""
+
+    def __init__(self, record: PilotRecord) -> None:
+        self.record = record
+        self.facts = start_facts(record.fleet)
+        channel, proxies = record.fleet.channel, record.fleet.proxies
+        self.planner = PLANNERS[record.decides](self.facts, record.seed)
+        self.tables = Tables(
+            len(record.fleet.classes), proxies.admission, proxies.base_tries, channel.lines_per_message
+        )
+        self.channel = Channel(channel.lines_per_s)
+        self.intake = Intake(INTAKE_PART * proxies.report_every_ms)
+        self.places = {row.name: place for place, row in enumerate(record.fleet.classes)}
+        self.numbers: dict[str, int] = {}  # proxies by node name
+        self.zones: dict[int, str] = {}  # of joined proxies
+        self.endpoints: dict[tuple[str, int], int] = {}  # by address
+        self.states: dict[int, str] = {}
+        self.listed = False  # the roster has spoken
+        self.incoming = Incoming(0.0)
+        self.news_ms: float | None = None  # when the first news since the last round came
+        self.wakes: list[tuple[float, int]] = []
+        self.ordered: dict[int, float] = {}
+        self.probes: list[tuple[int, str, int]] = []  # to be asked: endpoint and address
+        self.watch = False  # the module asks for the list anew
+        self.placed: list[tuple[int, str, int]] = []
+        self.now_ms = 0.0
+        self.rounds = 0
+        self.log = structlog.get_logger("pilot")
+
+    # news
+
+    def heard(self, now_ms: float) -> None:
+        if self.news_ms is None:
+            self.news_ms = now_ms
+
+    def roster(self, kind: str, entries: list[tuple], addresses: dict[int, tuple[str, int]]) -> None:
+        """News of the list; entries as the interface has them."""
+        for endpoint, (host, port) in addresses.items():
+            self.endpoints[host, port] = endpoint
+            self.placed.append((endpoint, host, port))
+        for entry in entries:
+            self.states[entry[0]] = entry[2]
+        self.listed = self.listed or kind != "error"
+        self.incoming.lists.append((kind, entries))
+
+    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool) -> int:
+        proxy = self.numbers.setdefault(node, len(self.numbers))
+        self.zones[proxy] = zone
+        self.tables.join(proxy, zone, held)
+        self.incoming.streams.append((proxy, True, zone, usual, fresh))
+        self.heard(self.now_ms)
+        return proxy
+
+    def leave(self, proxy: int) -> None:
+        self.zones.pop(proxy, None)
+        self.tables.leave(proxy)
+        self.channel.drop(proxy)
+        self.incoming.streams.append((proxy, False, "", 0.0, False))
+        self.heard(self.now_ms)
+
+    def proxy_of(self, node: str) -> int | None:
+        proxy = self.numbers.get(node)
+        return proxy if proxy in self.zones else None
+
+    def report(self, proxy: int, cluster: str, covers_ms: float, arrived: int, unanswered: int) -> None:
+        place = self.places.get(cluster)
+        if place is not None:
+            self.intake.arrived(place, proxy, arrived, unanswered, covers_ms)
+
+    def tried(
+        self,
+        proxy: int,
+        host: str,
+        port: int,
+        tries: int,
+        failed: int,
+        good_ms: float,
+        load: dict[str, float],
+    ) -> None:
+        endpoint = self.endpoints.get((host, port))
+        if endpoint is not None:
+            self.intake.tried(self.zones[proxy], endpoint, tries, failed, good_ms, load)
+
+    def probed(self, endpoint: int, answered: bool, took_ms: float, load: dict[str, float]) -> None:
+        self.incoming.probes.append((endpoint, answered, took_ms, load))
+        self.heard(self.now_ms)
+
+    # time
+
+    def step(self, now_ms: float) -> None:
+        """Let pushes leave, and call the module if anything is due; the caller then has its fronts pump."""
+        self.now_ms = now_ms
+        for push in self.channel.leave(now_ms):
+            self.tables.release(push.proxy, push.number)
+        if receipts := self.tables.receipts():
+            self.incoming.receipts += receipts
+            self.heard(now_ms)
+        if self.listed and self.due_ms() <= now_ms:
+            self.round(now_ms)
+
+    def due_ms(self) -> float:
+        """When the next round is due."""
+        if not self.listed:
+            return float("inf")
+        due = self.wakes[0][0] if self.wakes else float("inf")
+        if self.intake.sums or self.intake.arrivals:
+            due = min(due, (self.intake.since_ms or 0.0) + self.intake.period_ms)
+        if self.news_ms is not None:
+            due = min(due, self.news_ms + self.record.gather_ms)
+        return due
+
+    def next_ms(self) -> float:
+        """When `step` has something to do next."""
+        return min(self.due_ms(), self.channel.next_ms())
+
+    def round(self, now_ms: float) -> None:
+        while self.wakes and self.wakes[0][0] <= now_ms:
+            heapq.heappop(self.wakes)
+        incoming, self.incoming, self.news_ms = self.incoming, Incoming(0.0), None
+        incoming.now_ms = now_ms
+        if self.intake.due(now_ms):
+            incoming.sums, incoming.arrivals = self.intake.hand_over(now_ms)
+            incoming.arrivals = [row for row in incoming.arrivals if row[1] in self.zones]
+        self.tables.begin()
+        for endpoint, host, port in self.placed:
+            self.tables.place(endpoint, host, port)
+        self.placed = []
+        self.ordered[self.tables.number] = now_ms
+        self.ordered.pop(self.tables.number - ORDERS_KEPT, None)
+        self.planner.round(incoming, Writer(self))
+        self.channel.put(self.tables.commit(), now_ms)
+        self.rounds += 1
+
+    def ordered_ms(self, number: int) -> float:
+        return self.ordered.get(number, self.now_ms)
+
+
+class Writer:
+    """The `Orders` of the interface: into the tables, the prober, the wakes and the log."""
+
+    def __init__(self, core: Core) -> None:
+        self.core = core
+
+    def line(self, table: int, endpoint: int, weight: float) -> None:
+        self.core.tables.line(table, endpoint, weight)
+
+    def withdraw(self, endpoint: int, out: bool) -> None:
+        core = self.core
+        status = "draining" if core.states.get(endpoint) == "terminating" else "lost"
+        core.tables.withdraw(endpoint, out, status)
+        where = "{}:{}".format(*core.tables.addresses.get(endpoint, ("", 0)))
+        said = "endpoint withdrawn" if out else "endpoint let back"
+        core.log.info(said, endpoint=endpoint, address=where, status=status if out else "ready")
+
+    def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
+        self.core.tables.bind(proxy, table, classes)
+
+    def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
+        self.core.tables.level(table, classes, allowed, tries)
+
+    def probe(self, endpoint: int) -> None:
+        if endpoint in self.core.tables.addresses:
+            self.core.probes.append((endpoint, *self.core.tables.addresses[endpoint]))
+
+    def receipt(self, serial: int) -> None:
+        self.core.tables.receipt(serial)
+
+    def watch_list(self) -> None:
+        self.core.watch = True
+
+    def wake(self, token: int, at_ms: float) -> None:
+        heapq.heappush(self.core.wakes, (at_ms, token))
+
+    def note(self, text: str) -> None:
+        self.core.log.info("note", reason=text)
--- /dev/null
+++ b/quillstep/pilot/intake.py
@@ -0,0 +1,51 @@
+"""Gathers what proxies report between two rounds.  Without I/O and clocks."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Sum:
+    """What the proxies of a zone met at one endpoint since the last hand-over."""
+
+    tries: int = 0
+    failed: int = 0
+    good_ms: float = 0.0
+    load: dict[str, float] = field(default_factory=dict)
+
+
+class Intake:
+    """Sums by zone and endpoint, handed over once a period, as one figure each; arrivals as they come."""
+
+    def __init__(self, period_ms: float) -> None:
+        self.period_ms = period_ms
+        self.since_ms: float | None = None
+        self.sums: dict[tuple[str, int], Sum] = {}
+        self.arrivals: list[tuple] = []
+
+    def tried(
+        self, zone: str, endpoint: int, tries: int, failed: int, good_ms: float, load: dict[str, float]
+    ) -> None:
+        row = self.sums.get((zone, endpoint))
+        if row is None:
+            row = self.sums[zone, endpoint] = Sum()
+        row.tries += tries
+        row.failed += failed
+        row.good_ms += good_ms
+        row.load.update(load)
+
+    def arrived(self, place: int, proxy: int, arrived: int, unanswered: int, covers_ms: float) -> None:
+        self.arrivals.append((place, proxy, arrived, unanswered, covers_ms))
+
+    def due(self, now_ms: float) -> bool:
+        return bool(self.sums or self.arrivals) and now_ms >= (self.since_ms or 0.0) + self.period_ms
+
+    def hand_over(self, now_ms: float) -> tuple[list[tuple], list[tuple]]:
+        """Sums and arrivals in the interface's shape; starts anew."""
+        covers = self.period_ms if self.since_ms is None else now_ms - self.since_ms
+        sums = [
+            (endpoint, s.tries, s.failed, s.good_ms / max(1, s.tries - s.failed), covers, s.load)
+            for (_, endpoint), s in self.sums.items()
+        ]
+        arrivals = self.arrivals
+        self.sums, self.arrivals, self.since_ms = {}, [], now_ms
+        return sums, arrivals
--- /dev/null
+++ b/quillstep/settings/__init__.py
@@ -0,0 +1,20 @@
+"""Settings: records in a stated subset of CUE, checked into typed records.  See docs/operate/settings.md."""
+
+from quillstep.settings.cue import Fault, Origin, read
+from quillstep.settings.records import (
+    ClassRecord,
+    DayRecord,
+    EndpointKind,
+    FleetRecord,
+    LimitsRecord,
+    PilotRecord,
+    ProxyRecord,
+    TroubleRecord,
+    load,
+    start_facts,
+)
+
+__all__ = [
+    "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FleetRecord", "LimitsRecord", "Origin", "PilotRecord",
+    "ProxyRecord", "TroubleRecord", "load", "read", "start_facts",
+]  # fmt: skip
--- /dev/null
+++ b/quillstep/tables/ledger.py
@@ -0,0 +1,248 @@
+"""One proxy's side: what was ordered, what is under way, what it holds by its own word, what it refused.
+
+Free of I/O and clocks: times come in, milliseconds.  Nothing counts as held that was not acknowledged.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from quillstep.tables.content import LINE, OUT, POOL, ROUTES, SHARE, Content, Key, rank
+
+BACK_OFF_MS = 100.0  # after a refusal, doubled with each in a row
+BACK_OFF_MOST = 64.0  # times that
+RECEIPTS_MOST = 32  # that one proxy may owe; serials come round again
+
+
+class Change(NamedTuple):
+    """A content to hold from now on; None: to hold no more."""
+
+    key: Key
+    content: Content | None
+
+
+class Refusal(NamedTuple):
+    """What a proxy refused and why; `alone` if it was the only change, so that it is set apart."""
+
+    changes: list[Change]
+    reason: str
+    alone: bool
+
+
+@dataclass(slots=True)
+class Flight:
+    """Changes sent in one piece that wait for their acknowledgement."""
+
+    changes: list[Change]
+    number: int  # the newest order in it
+    sent_ms: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """The record of one joined proxy.  `number` always means the number of an order, rising."""
+
+    proxy: int
+    zone: str
+    held: dict[Key, str] = field(default_factory=dict)  # versions, by the proxy's own word
+    dirty: dict[Key, int] = field(default_factory=dict)  # what may differ, and since which order
+    asked: set[Key] = field(default_factory=set)  # must be answered though nothing differs
+    flights: dict[str, Flight] = field(default_factory=dict)  # by nonce
+    sent: dict[Key, tuple[str | None, str, int]] = field(default_factory=dict)  # newest under way
+    refused: dict[Key, str | None] = field(default_factory=dict)  # versions that must not be repeated
+    apart: deque[list[Key]] = field(default_factory=deque)  # parts of a refused piece, tried one by one
+    released: int = 0  # orders up to this one have left the channel
+    bound: dict[int, int] = field(default_factory=dict)  # class to table
+    routed: frozenset[int] = frozenset()  # tables that the routes it holds name, as far as we know
+    waiting: deque[tuple[int, int, set[Key]]] = field(  # receipts due: number, serial, keys
+        default_factory=lambda: deque(maxlen=RECEIPTS_MOST)
+    )
+    refusals: int = 0  # in a row
+    not_before_ms: float = 0.0
+
+    def mark(self, key: Key, number: int) -> None:
+        """This key may differ since that order; an older mark stays, so that nothing waits twice."""
+        if key not in self.dirty:
+            self.dirty[key] = number
+
+    def have(self, key: Key) -> str | None:
+        under_way = self.sent.get(key)
+        return under_way[0] if under_way else self.held.get(key)
+
+    def differs(self, key: Key, want: Content | None) -> bool:
+        version = want.version if want else None
+        if key in self.refused and self.refused[key] == version:
+            return False  # refused: not repeated unchanged
+        return self.have(key) != version or (key in self.asked and key not in self.sent)
+
+    def take(
+        self,
+        now_ms: float,
+        wants: Callable[[Key], bool],
+        desired: Callable[[Key], Content | None],
+    ) -> list[Change]:
+        """What should be sent now of the keys the proxy has asked for, in the sequence to send it.
+
+        Keys that turn out not to differ are settled; keys that can't go yet stay marked.
+        """
+        if self.apart:
+            return self.take_apart(now_ms, wants, desired)
+        found: list[Change] = []
+        settled: list[Key] = []
+        for key, number in self.dirty.items():
+            if number > self.released or not wants(key):
+                continue
+            want = desired(key)
+            if self.differs(key, want):
+                found.append(Change(key, want))
+            elif key not in self.sent:
+                settled.append(key)
+            else:
+                settled.append(key)  # the same version is under way: its acknowledgement settles it
+        for key in settled:
+            del self.dirty[key]
+        self.settle(key for key in settled if key not in self.sent and key not in self.refused)
+        found = [change for change in found if not self.too_early(change, wants)]
+        found.sort(key=lambda change: rank(change.key, change.content is None))
+        return found
+
+    def take_apart(
+        self,
+        now_ms: float,
+        wants: Callable[[Key], bool],
+        desired: Callable[[Key], Content | None],
+    ) -> list[Change]:
+        """The next part of what was refused as a whole; endpoints to keep out don't wait for the back-off."""
+        while self.apart:
+            keys = self.apart[0]
+            urgent = all(key[0] == OUT for key in keys)
+            if now_ms < self.not_before_ms and not urgent:
+                return []
+            self.apart.popleft()
+            found = [Change(key, desired(key)) for key in keys if wants(key)]
+            found = [change for change in found if self.differs(*change)]
+            if found:
+                return found
+        return []
+
+    def too_early(self, change: Change, wants: Callable[[Key], bool]) -> bool:
+        """Routes wait until the tables they name are held whole; a table goes after the routes to it.
+
+        Guards against routes that name a table which isn't there, and against a proxy left bare between two
+        messages.  Levels alone, on tables that the proxy's routes name already, wait for nothing.
+        """
+        key, want = change
+        if key[0] == ROUTES and want:
+            tables = {row[1] for row in want.what}
+            new = tables - self.routed
+            number = self.dirty.get(key, 0)
+            return any(self.lacks(table, number, wants) for table in new)
+        if want is None and key[0] in (POOL, SHARE, LINE):
+            return key[1] in self.routed and key[1] not in self.bound.values() and key[0] != LINE
+        return False
+
+    def lacks(self, table: int, number: int, wants: Callable[[Key], bool]) -> bool:
+        if (POOL, table) not in self.held:
+            return True
+        parts = ((POOL, table), (SHARE, table))
+        if any(key in self.dirty and key not in self.refused for key in parts):
+            return True
+        if any(key in self.sent for key in parts):
+            return True
+        for key, since in self.dirty.items():
+            if key[0] == LINE and key[1] == table and since <= number and key not in self.refused:
+                return True
+        under_way = any(key[0] == LINE and key[1] == table and s[2] <= number for key, s in self.sent.items())
+        return under_way or not any(key[0] == LINE and key[1] == table for key in self.held)
+
+    def send(self, nonce: str, changes: list[Change], now_ms: float) -> None:
+        """These changes are on their way under this nonce."""
+        number = self.released
+        self.flights[nonce] = Flight(changes, number, now_ms)
+        for key, want in changes:
+            self.sent[key] = (want.version if want else None, nonce, self.dirty.pop(key, number))
+            self.asked.discard(key)
+
+    def acknowledge(self, nonce: str) -> list[Change]:
+        """The proxy holds what went under this nonce; an unknown or old nonce acknowledges nothing."""
+        flight = self.flights.pop(nonce, None)
+        if flight is None:
+            return []
+        for key, want in flight.changes:
+            if want:
+                self.held[key] = want.version
+                if key[0] == ROUTES:
+                    self.routed = frozenset(row[1] for row in want.what)
+            else:
+                self.held.pop(key, None)
+            self.refused.pop(key, None)
+            if key in self.sent and self.sent[key][1] == nonce:
+                del self.sent[key]
+        self.refusals = 0
+        self.settle([change.key for change in flight.changes], flight.number)
+        return flight.changes
+
+    def refuse(self, nonce: str, reason: str, now_ms: float, whole: bool = False) -> Refusal | None:
+        """The proxy stays with what it had; what was refused alone is set apart until its version changes.
+
+        `whole`: the front can't send less than all, so that all of it is set apart.
+
+        A piece of several changes is tried again in halves, never unchanged: one bad line must not keep
+        a drain that came with it from a proxy for ever.
+        """
+        flight = self.flights.pop(nonce, None)
+        if flight is None:
+            return None
+        keys = []
+        alone = whole or len(flight.changes) == 1
+        for key, want in flight.changes:
+            if key in self.sent and self.sent[key][1] == nonce:
+                del self.sent[key]
+                keys.append(key)
+                self.mark(key, flight.number)
+                if alone:
+                    self.refused[key] = want.version if want else None
+        if not alone and keys:
+            self.apart.extend(parts(keys))
+        self.not_before_ms = now_ms + BACK_OFF_MS * min(BACK_OFF_MOST, 2.0**self.refusals)
+        self.refusals += 1
+        return Refusal(flight.changes, reason, alone)
+
+    def settle(self, keys: Iterable[Key], number: int | None = None) -> None:
+        """These keys are as the orders up to this number wanted them."""
+        number = self.released if number is None else number
+        settled = set(keys)
+        for ordered, _, due in self.waiting:
+            if ordered <= number:
+                due -= settled
+
+    def receipts(self) -> list[int]:
+        """The receipts that are complete by now, oldest first; each is given out once."""
+        if not any(number <= self.released and not due for number, _, due in self.waiting):
+            return []
+        done = [serial for number, serial, due in self.waiting if number <= self.released and not due]
+        left = [row for row in self.waiting if row[0] > self.released or row[2]]
+        self.waiting = deque(left, maxlen=RECEIPTS_MOST)  # a refused key must not hold up what came after
+        return done
+
+    def forget(self, keys: Iterable[Key]) -> None:
+        """The proxy no longer asks for these; what it holds of them is not known."""
+        for key in keys:
+            self.held.pop(key, None)
+            self.sent.pop(key, None)
+            self.asked.discard(key)
+
+    def oldest_flight_ms(self) -> float | None:
+        return min((flight.sent_ms for flight in self.flights.values()), default=None)
+
+
+def parts(keys: list[Key]) -> list[list[Key]]:
+    """A refused piece in smaller pieces: endpoints to keep out apart from the rest, else halves."""
+    out = [key for key in keys if key[0] == OUT]
+    rest = [key for key in keys if key[0] != OUT]
+    if out and rest:
+        return [out, rest]
+    if len(keys) < 2:
+        return [keys]
+    return [keys[: len(keys) // 2], keys[len(keys) // 2 :]]
--- /dev/null
+++ b/quillstep/tables/world.py
@@ -0,0 +1,285 @@
+"""All tables of one pilot: what its orders have made of them, and the ledger of each joined proxy.
+
+Orders are written between `begin` and `commit`; commit says what each proxy concerned is to be sent, counted
+in lines as the module counts them.  What a push costs has left the channel when `release` is called; only then
+may a front send the differences.  Without I/O and clocks.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from quillstep.tables.content import ENTRY, LINE, OTHER, OUT, POOL, ROUTES, SHARE, Content, Key, content
+from quillstep.tables.ledger import Change, Ledger, Refusal
+
+OPEN_RATE = 1e5  # a rate from which on nothing is held back: no limit is sent
+
+
+class Push(NamedTuple):
+    """What one order means for one proxy: its lines wait in the channel until it may be released."""
+
+    proxy: int
+    number: int
+    lines: float
+
+
+@dataclass(slots=True)
+class Table:
+    """The lines and levels of one table."""
+
+    lines: dict[int, float] = field(default_factory=dict)
+    levels: dict[int, tuple[float, int]] = field(default_factory=dict)  # allowed and tries by class
+    users: set[int] = field(default_factory=set)
+
+
+class Tables:
+    """The desired state of all, and `ledgers` by proxy number."""
+
+    def __init__(self, classes: int, admission: str, base_tries: int, lines_per_message: float) -> None:
+        self.classes, self.admission, self.base_tries = classes, admission, base_tries
+        self.lines_per_message = lines_per_message
+        self.tables: dict[int, Table] = {}
+        self.withdrawn: dict[int, str] = {}  # status by endpoint
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.ledgers: dict[int, Ledger] = {}
+        self.number = 0
+        self.costs: dict[int, float] = {}
+        self.marked: dict[int, set[Key]] = {}
+        self.serial: int | None = None
+        self.stirred: set[int] = set()  # proxies that may have something to be sent
+        self.answering: set[int] = set()  # proxies that may have completed a receipt
+        self.made: dict[Key, Content] = {}  # contents by key, made anew when an order touches them
+
+    # who is there
+
+    def join(self, proxy: int, zone: str, held: Mapping[Key, str]) -> Ledger:
+        """A proxy's stream stands; it keeps what it says it holds until it is bound."""
+        ledger = Ledger(proxy, zone, dict(held))
+        ledger.released = self.number
+        self.leave(proxy)
+        self.ledgers[proxy] = ledger
+        return ledger
+
+    def leave(self, proxy: int) -> None:
+        ledger = self.ledgers.pop(proxy, None)
+        self.stirred.discard(proxy)
+        if ledger:
+            for table in set(ledger.bound.values()):
+                self.tables[table].users.discard(proxy)
+
+    def holds(self, proxy: int, held: Mapping[Key, str]) -> None:
+        """A proxy tells of more that it holds, in the first words on a further type."""
+        ledger = self.ledgers[proxy]
+        for key, version in held.items():
+            if key not in ledger.sent:
+                ledger.held[key] = version
+            if ledger.bound:
+                ledger.mark(key, ledger.released)
+        self.stirred.add(proxy)
+
+    def ask(self, proxy: int, keys: Iterable[Key], anew: bool) -> None:
+        """A proxy asks for these; `anew`: it wants them said again though it may hold them."""
+        ledger = self.ledgers[proxy]
+        for key in keys:
+            if anew and key not in ledger.sent:
+                ledger.held.pop(key, None)
+                ledger.asked.add(key)
+            ledger.mark(key, ledger.released)
+        self.stirred.add(proxy)
+
+    # orders
+
+    def begin(self) -> None:
+        self.number += 1
+        self.costs, self.marked, self.serial = {}, {}, None
+
+    def place(self, endpoint: int, host: str, port: int) -> None:
+        """Where an endpoint is reached; a change of it changes every line that names it."""
+        if self.addresses.get(endpoint) == (host, port):
+            return
+        moved = endpoint in self.addresses
+        self.addresses[endpoint] = (host, port)
+        if moved:
+            for number, table in self.tables.items():
+                if endpoint in table.lines:
+                    self.touch((LINE, number, endpoint), table.users, 0.0)
+            if endpoint in self.withdrawn:
+                self.touch((OUT, endpoint), self.ledgers, 0.0)
+
+    def line(self, table: int, endpoint: int, weight: float) -> None:
+        record = self.tables.setdefault(table, Table())
+        if weight > 0:
+            record.lines[endpoint] = weight
+        else:
+            record.lines.pop(endpoint, None)
+        self.touch((LINE, table, endpoint), record.users, 1.0)
+
+    def withdraw(self, endpoint: int, out: bool, status: str) -> None:
+        if out:
+            self.withdrawn[endpoint] = status
+        else:
+            self.withdrawn.pop(endpoint, None)
+        self.touch((OUT, endpoint), self.ledgers, 1.0)
+
+    def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
+        record = self.tables.setdefault(table, Table())
+        for place in classes:
+            record.levels[place] = (allowed, tries)
+        self.made.pop((SHARE, table), None)
+        for proxy in record.users:
+            self.mark(proxy, (ROUTES,), 1.0)
+            if self.admission == "share":
+                self.mark(proxy, (SHARE, table), 0.0)
+
+    def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
+        ledger = self.ledgers.get(proxy)
+        if ledger is None:
+            return  # it has left since
+        record = self.tables.setdefault(table, Table())
+        places = list(classes)
+        first = not ledger.bound
+        before = set(ledger.bound.values())
+        ledger.bound.update(dict.fromkeys(places, table))
+        after = set(ledger.bound.values())
+        for gone in before - after:
+            self.tables[gone].users.discard(proxy)
+            self.mark(proxy, (POOL, gone), 0.0)
+        record.users.add(proxy)
+        held_out = sum(endpoint in self.withdrawn for endpoint in record.lines)
+        self.mark(proxy, (POOL, table), 1.0 + len(places) + len(record.lines) + held_out)
+        self.mark(proxy, (SHARE, table), 0.0)
+        for endpoint in record.lines:
+            self.mark(proxy, (LINE, table, endpoint), 0.0)
+        self.mark(proxy, (ROUTES,), 0.0)
+        if first:
+            self.mark(proxy, (ENTRY,), 0.0)
+            for endpoint in self.withdrawn:
+                self.mark(proxy, (OUT, endpoint), 0.0)
+            for key in list(ledger.held):
+                self.mark(proxy, key, 0.0)
+
+    def receipt(self, serial: int) -> None:
+        self.serial = serial
+
+    def commit(self) -> list[Push]:
+        """The pushes of this order, in the sequence in which proxies were first concerned."""
+        pushes = []
+        for proxy, lines in self.costs.items():
+            ledger = self.ledgers.get(proxy)
+            if ledger is None:
+                continue
+            if not lines:
+                lines = 1.0  # an address moved: it is sent as a line, though no order counted it
+            extra = self.lines_per_message
+            if self.serial is not None:
+                extra += 1.0
+                ledger.waiting.append((self.number, self.serial, self.marked[proxy]))
+            pushes.append(Push(proxy, self.number, lines + extra))
+        self.costs, self.marked = {}, {}
+        return pushes
+
+    def touch(self, key: Key, proxies: Iterable[int], lines: float) -> None:
+        self.made.pop(key, None)
+        for proxy in proxies:
+            self.mark(proxy, key, lines)
+
+    def mark(self, proxy: int, key: Key, lines: float) -> None:
+        self.ledgers[proxy].mark(key, self.number)
+        self.costs[proxy] = self.costs.get(proxy, 0.0) + lines
+        self.marked.setdefault(proxy, set()).add(key)
+
+    # what a front carries
+
+    def release(self, proxy: int, number: int) -> None:
+        """A push has left the channel."""
+        ledger = self.ledgers.get(proxy)
+        if ledger and number > ledger.released:
+            ledger.released = number
+            self.stirred.add(proxy)
+            self.answering.add(proxy)
+
+    def take(self, proxy: int, now_ms: float, wants: Callable[[Key], bool]) -> list[Change]:
+        """What a front should send this proxy now; `wants` tells what it has asked for."""
+        ledger = self.ledgers[proxy]
+        self.answering.add(proxy)
+        return ledger.take(now_ms, wants, lambda key: self.desired(ledger, key))
+
+    def acknowledge(self, proxy: int, nonce: str) -> list[Change]:
+        self.stirred.add(proxy)
+        self.answering.add(proxy)
+        return self.ledgers[proxy].acknowledge(nonce)
+
+    def receipts(self) -> list[int]:
+        """The receipts that proxies have completed since the last call, one for each proxy that did."""
+        done: list[int] = []
+        for proxy in sorted(self.answering):
+            if ledger := self.ledgers.get(proxy):
+                done += ledger.receipts()
+        self.answering.clear()
+        return done
+
+    def refuse(
+        self, proxy: int, nonce: str, reason: str, now_ms: float, whole: bool = False
+    ) -> Refusal | None:
+        self.stirred.add(proxy)
+        return self.ledgers[proxy].refuse(nonce, reason, now_ms, whole)
+
+    def keys(self, proxy: int) -> list[Key]:
+        """All keys that a proxy should hold now, but for what it holds unbound."""
+        ledger = self.ledgers[proxy]
+        keys: list[Key] = [(ENTRY,)] + [(OUT, endpoint) for endpoint in self.withdrawn]
+        for number in sorted(set(ledger.bound.values())):
+            keys += [(POOL, number), (SHARE, number)]
+            keys += [(LINE, number, endpoint) for endpoint in self.tables[number].lines]
+        return keys + [(ROUTES,)] if ledger.bound else keys
+
+    def desired(self, ledger: Ledger, key: Key) -> Content | None:
+        """What a proxy should hold under a key; unbound, it keeps what it has."""
+        kind = key[0]
+        if kind == ROUTES:
+            return self.routes(ledger)
+        if kind == ENTRY:
+            return self.content(key)
+        if kind == OUT:
+            return self.content(key)
+        if not ledger.bound:
+            version = ledger.held.get(key)
+            return Content(version, ()) if version is not None else None
+        if kind == OTHER or key[1] not in ledger.bound.values():
+            return None
+        return self.content(key)
+
+    def content(self, key: Key) -> Content | None:
+        """The content of a key that is the same for all who should hold it."""
+        made = self.made.get(key)
+        if made is None:
+            what = self.what(key)
+            if what is None:
+                return None
+            made = self.made[key] = content(key, what)
+        return made
+
+    def what(self, key: Key) -> tuple | None:
+        kind = key[0]
+        if kind == LINE:
+            weight = self.tables[key[1]].lines.get(key[2])
+            return (*self.addresses[key[2]], weight) if weight and key[2] in self.addresses else None
+        if kind == OUT:
+            status = self.withdrawn.get(key[1])
+            return (*self.addresses[key[1]], status) if status and key[1] in self.addresses else None
+        if kind == SHARE:
+            if self.admission != "share":
+                return ()
+            return tuple((p, round(a, 4)) for p, (a, _) in sorted(self.tables[key[1]].levels.items()))
+        return ()
+
+    def routes(self, ledger: Ledger) -> Content | None:
+        if not ledger.bound:
+            version = ledger.held.get((ROUTES,))
+            return Content(version, ()) if version is not None else None
+        rows = []
+        for place, table in sorted(ledger.bound.items()):
+            allowed, tries = self.tables[table].levels.get(place, (None, self.base_tries))
+            rate = self.admission == "rate" and allowed is not None and allowed < OPEN_RATE
+            rows.append((place, table, round(allowed, 4) if rate and allowed is not None else None, tries))
+        return content((ROUTES,), tuple(rows))
--- /dev/null
+++ b/quillstep/xds/delta.py
@@ -0,0 +1,228 @@
+"""One delta stream (`DeltaAggregatedResources`), without I/O: requests in, responses out, tables between them.
+
+Versions are the contents' own, nonces are the stream's.  A response is one type's changes of one order; its
+`system_version_info` is `epoch/order/ordered`, by which a record of the sockets tells which responses make one
+message of the channel, and when it was ordered (milliseconds).
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from envoy.service.discovery.v3 import discovery_pb2
+
+from quillstep.settings import LimitsRecord
+from quillstep.tables import Change, Key, Refusal, Tables
+from quillstep.tables.content import LINE, OTHER, OUT
+from quillstep.xds import resources
+from quillstep.xds.grpc import INVALID_ARGUMENT, RESOURCE_EXHAUSTED
+
+KNOWN = frozenset(resources.TYPES.values())
+
+
+class Response(NamedTuple):
+    """Bytes to send, and what a record says of them: order, type, how many resources, how many removed."""
+
+    message: bytes
+    number: int
+    url: str
+    nonce: str
+    changed: int
+    removed: int
+
+
+class StreamFault(Exception):
+    """What a peer asked for ends its stream, with this status."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Subscription:
+    """What a stream asks for of one type: names, globs of collections, or all."""
+
+    names: set[str] = field(default_factory=set)
+    globs: set[str] = field(default_factory=set)
+    wildcard: bool = False
+
+
+class DeltaStream:
+    """The state of one stream of one proxy; belongs to the deciding thread."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        encoder: resources.Encoder,
+        limits: LimitsRecord,
+        epoch: str,
+        ordered_ms: Callable[[int], float],
+    ) -> None:
+        self.tables, self.encoder, self.limits, self.epoch = tables, encoder, limits, epoch
+        self.ordered_ms = ordered_ms
+        self.proxy = -1
+        self.subscriptions: dict[str, Subscription] = {}
+        self.nonces = 0
+        self.errors: list[Response] = []
+
+    # requests
+
+    def first(self, request: discovery_pb2.DeltaDiscoveryRequest) -> dict[Key, str]:
+        """What the opening words say the proxy holds."""
+        if not request.node.id:
+            raise StreamFault(INVALID_ARGUMENT, "the first request names no node")
+        return self.held(request)
+
+    def held(self, request: discovery_pb2.DeltaDiscoveryRequest) -> dict[Key, str]:
+        versions = request.initial_resource_versions
+        return {resources.key_of(request.type_url, named): version for named, version in versions.items()}
+
+    def request(
+        self, request: discovery_pb2.DeltaDiscoveryRequest, now_ms: float
+    ) -> tuple[list[Change], Refusal | None]:
+        """Take a request in; what it acknowledged, and what it refused."""
+        url = request.type_url
+        if url not in KNOWN:
+            self.unknown(request)
+            return [], None
+        acknowledged: list[Change] = []
+        refusal = None
+        if request.response_nonce:
+            if request.HasField("error_detail"):
+                reason = request.error_detail.message or f"code {request.error_detail.code}"
+                refusal = self.tables.refuse(self.proxy, request.response_nonce, reason, now_ms)
+            else:
+                acknowledged = self.tables.acknowledge(self.proxy, request.response_nonce)
+        fresh = url not in self.subscriptions
+        held = self.subscriptions.setdefault(url, Subscription())
+        if fresh:
+            self.tables.holds(self.proxy, self.held(request))
+            bare = not request.resource_names_subscribe
+            if bare and url in (resources.LDS, resources.CDS):
+                held.wildcard = True
+                self.ask(url, held, [], anew=False)
+        if request.resource_names_subscribe:
+            self.subscribe(url, held, request.resource_names_subscribe)
+        if request.resource_names_unsubscribe:
+            self.unsubscribe(url, held, request.resource_names_unsubscribe)
+        return acknowledged, refusal
+
+    def subscribe(self, url: str, held: Subscription, names: Iterable[str]) -> None:
+        plain = []
+        for named in names:
+            if named == "*":
+                held.wildcard = True
+                self.ask(url, held, [], anew=False)
+            elif named.endswith("/*"):
+                held.globs.add(named)
+                self.ask(url, held, [], anew=False)
+            else:
+                held.names.add(named)
+                plain.append(named)
+        if len(held.names) + len(held.globs) > self.limits.subscriptions_most:
+            most = self.limits.subscriptions_most
+            raise StreamFault(RESOURCE_EXHAUSTED, f"more than {most} names subscribed of one type")
+        if plain:
+            self.ask(url, held, plain, anew=True)
+
+    def ask(self, url: str, held: Subscription, names: list[str], anew: bool) -> None:
+        if names:
+            keys = [resources.key_of(url, named) for named in names]
+            ledger = self.tables.ledgers[self.proxy]
+            told = {key for key in keys if key in ledger.held}
+            # A name that is new with a version the proxy told of needs no repetition.
+            self.tables.ask(self.proxy, [key for key in keys if key not in told], anew)
+            self.tables.ask(self.proxy, told, False)
+        else:
+            keys = [key for key in self.tables.keys(self.proxy) if resources.type_url(key) == url]
+            self.tables.ask(self.proxy, [key for key in keys if self.covers(held, key)], False)
+
+    def unsubscribe(self, url: str, held: Subscription, names: Iterable[str]) -> None:
+        for named in names:
+            if named == "*":
+                held.wildcard = False
+            held.names.discard(named)
+            held.globs.discard(named)
+        ledger = self.tables.ledgers[self.proxy]
+        gone = [k for k in ledger.held if resources.type_url(k) == url and not self.covers(held, k)]
+        under_way = [k for k in ledger.sent if resources.type_url(k) == url and not self.covers(held, k)]
+        ledger.forget(gone + under_way)
+
+    def covers(self, held: Subscription, key: Key) -> bool:
+        if held.wildcard or resources.name(key) in held.names:
+            return True
+        return bool(held.globs) and key[0] in (LINE, OUT) and resources.collection(key) in held.globs
+
+    def wants(self, key: Key) -> bool:
+        """Whether the proxy has asked for this key; what is not ours is only ever taken back."""
+        held = self.subscriptions.get(resources.type_url(key))
+        return held is not None and (key[0] == OTHER or self.covers(held, key))
+
+    def unknown(self, request: discovery_pb2.DeltaDiscoveryRequest) -> None:
+        """A type that we don't serve: an answer that the peer can read, and its stream goes on."""
+        if request.response_nonce:
+            return  # its acknowledgement of that answer
+        response = discovery_pb2.DeltaDiscoveryResponse(type_url=request.type_url, nonce=self.nonce())
+        for named in list(request.resource_names_subscribe) or ["*"]:
+            error = response.resource_errors.add()
+            error.resource_name.name = named
+            error.error_detail.code = INVALID_ARGUMENT
+            error.error_detail.message = (
+                f"this pilot serves no {request.type_url or 'resources without a type'}"
+            )
+            response.removed_resources.append(named)
+        message = response.SerializeToString()
+        self.errors.append(Response(message, 0, request.type_url, response.nonce, 0, 0))
+
+    def nonce(self) -> str:
+        self.nonces += 1
+        return f"{self.epoch}.{self.nonces}"
+
+    # responses
+
+    def pump(self, now_ms: float) -> list[Response]:
+        """What may be sent now, in sequence; bounded by what may be in flight."""
+        out, self.errors = self.errors, []
+        ledger = self.tables.ledgers[self.proxy]
+        while len(ledger.flights) < self.limits.in_flight_most:
+            changes = self.tables.take(self.proxy, now_ms, self.wants)
+            if not changes:
+                break
+            for url, group in grouped(changes):
+                nonce = self.nonce()
+                ledger.send(nonce, group, now_ms)
+                out.append(self.response(url, nonce, group, ledger.released))
+            if not ledger.apart:
+                break
+        return out
+
+    def response(self, url: str, nonce: str, changes: list[Change], number: int) -> Response:
+        head = discovery_pb2.DeltaDiscoveryResponse(
+            system_version_info=f"{self.epoch}/{number}/{self.ordered_ms(number):.1f}",
+            type_url=url,
+            nonce=nonce,
+        )
+        removed = [resources.name(key) for key, content in changes if content is None]
+        head.removed_resources.extend(removed)
+        body = [self.encoder.delta(key, content) for key, content in changes if content is not None]
+        message = head.SerializeToString() + b"".join(body)
+        return Response(message, number, url, nonce, len(body), len(removed))
+
+
+def grouped(changes: list[Change]) -> list[tuple[str, list[Change]]]:
+    """Runs of one type, so that what must go first does; lines and withdrawals share a type and a response.
+
+    One response is applied as a whole: an endpoint that goes and the lines that replace it are never apart.
+    """
+    groups: list[tuple[str, list[Change]]] = []
+    at: dict[tuple[str, bool], int] = {}
+    for change in changes:
+        url = resources.type_url(change.key)
+        late = change.content is None and url not in (resources.LEDS,)
+        if (url, late) in at:
+            groups[at[url, late]][1].append(change)
+        else:
+            at[url, late] = len(groups)
+            groups.append((url, [change]))
+    return groups
--- /dev/null
+++ b/quillstep/xds/front.py
@@ -0,0 +1,260 @@
+"""The streaming front in the deciding thread: streams to ledgers, load reports to the intake, responses to peers.
+
+It only carries: what a proxy should hold and what may be sent is the tables' matter.
+"""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import structlog
+from envoy.config.endpoint.v3 import load_report_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+
+from quillstep.settings import PilotRecord
+from quillstep.tables import Tables
+from quillstep.xds import resources
+from quillstep.xds.delta import DeltaStream, Response, StreamFault
+from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
+from quillstep.xds.peer import Peer
+from quillstep.xds.server import DELTA, LOAD, SOTW, News, Server
+from quillstep.xds.sotw import SotwStream
+
+TEND_MS = 500.0
+At = tuple[Peer, int]
+
+
+class Hooks(Protocol):
+    """What the pilot is told."""
+
+    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool) -> int:
+        """A proxy's stream stands; returns its number."""
+
+    def leave(self, proxy: int) -> None:
+        """A proxy's stream is gone."""
+
+    def proxy_of(self, node: str) -> int | None:
+        """The number of a proxy whose stream stands."""
+
+    def report(self, proxy: int, cluster: str, covers_ms: float, arrived: int, unanswered: int) -> None:
+        """What came to a proxy of one class."""
+
+    def tried(
+        self,
+        proxy: int,
+        host: str,
+        port: int,
+        tries: int,
+        failed: int,
+        good_ms: float,
+        load: dict[str, float],
+    ) -> None:
+        """What a proxy met at one endpoint; `good_ms` is the summed time of the good ones."""
+
+
+class XdsFront:
+    """All streams of one pilot."""
+
+    def __init__(
+        self,
+        record: PilotRecord,
+        tables: Tables,
+        hooks: Hooks,
+        epoch: str,
+        ordered_ms: Callable[[int], float],
+        tap: Callable[..., None],
+    ) -> None:
+        self.record, self.tables, self.hooks, self.epoch = record, tables, hooks, epoch
+        self.ordered_ms, self.tap = ordered_ms, tap
+        self.encoder = resources.Encoder(record.fleet.classes, record.fleet.proxies.try_factor)
+        self.server: Server | None = None
+        self.streams: dict[At, DeltaStream | SotwStream] = {}
+        self.at: dict[int, At] = {}  # where each proxy's stream is
+        self.nodes: dict[int, str] = {}
+        self.reporters: dict[At, str] = {}
+        self.tended_ms = 0.0
+        self.held_back: dict[int, float] = {}  # proxies whose refused parts wait, and until when
+        self.counts = dict.fromkeys(("sent", "acknowledged", "refused", "bytes", "resources"), 0)
+        self.log = structlog.get_logger("xds")
+
+    def take(self, news: News, now_ms: float) -> None:
+        """One piece of news from the server."""
+        kind, peer, stream = news[0], news[1], news[2]
+        at = (peer, stream)
+        if kind == "open":
+            if news[3] != LOAD:
+                make = DeltaStream if news[3] == DELTA else SotwStream
+                limits = self.record.limits
+                self.streams[at] = make(self.tables, self.encoder, limits, self.epoch, self.ordered_ms)
+        elif kind == "end":
+            self.end(at, str(news[3]), now_ms)
+        elif isinstance(news[3], lrs_pb2.LoadStatsRequest):
+            self.load(at, news[3])
+        elif at in self.streams:
+            try:
+                self.request(at, news[3], now_ms)
+            except StreamFault as trouble:
+                self.log.warning("stream ended", proxy=self.node(at), reason=str(trouble))
+                assert self.server
+                self.server.finish(peer, stream, trouble.status, str(trouble))
+                self.end(at, str(trouble), now_ms)
+
+    def node(self, at: At) -> str:
+        stream = self.streams.get(at)
+        return self.nodes.get(stream.proxy, "") if stream else self.reporters.get(at, "")
+
+    def request(self, at: At, request: Any, now_ms: float) -> None:
+        stream = self.streams[at]
+        if stream.proxy < 0:
+            self.join(at, stream, request, now_ms)
+        elif self.at.get(stream.proxy) != at:
+            return  # it has dialled anew; this is the old stream's last word
+        acknowledged, refusal = stream.request(request, now_ms)
+        if acknowledged:
+            self.counts["acknowledged"] += 1
+            self.tap("ack", now_ms, proxy=self.nodes[stream.proxy], nonce=request.response_nonce)
+        if refusal:
+            self.counts["refused"] += 1
+            self.tap("nack", now_ms, proxy=self.nodes[stream.proxy], nonce=request.response_nonce)
+            named = [resources.name(change.key) for change in refusal.changes]
+            self.log.warning(
+                "version refused",
+                proxy=self.nodes[stream.proxy],
+                table=named[0] if len(named) == 1 else f"{named[0]} and {len(named) - 1} more",
+                version=refusal.changes[0].content.version if refusal.changes[0].content else "removal",
+                reason=refusal.reason[:500],
+                next="set apart until it changes" if refusal.alone else "tried in parts",
+            )
+            self.held_back[stream.proxy] = self.tables.ledgers[stream.proxy].not_before_ms
+
+    def join(self, at: At, stream: DeltaStream | SotwStream, request: Any, now_ms: float) -> None:
+        held = stream.first(request)
+        node = request.node
+        fresh = not held and not getattr(request, "version_info", "")
+        old = self.hooks.proxy_of(node.id)
+        if old is not None and old in self.at:
+            self.log.info("stream replaced", proxy=node.id, reason="the proxy dialled anew")
+            before = self.at[old]
+            assert self.server
+            self.server.finish(*before, UNAVAILABLE, "the proxy dialled anew")
+            self.end(before, "the proxy dialled anew", now_ms)
+        usual = node.metadata.fields["usual"].number_value if "usual" in node.metadata.fields else 0.0
+        stream.proxy = self.hooks.join(node.id, node.locality.zone, usual, held, fresh)
+        self.at[stream.proxy] = at
+        self.nodes[stream.proxy] = node.id
+        self.tap("join", now_ms, proxy=node.id, zone=node.locality.zone, fresh=fresh)
+        self.log.info("proxy joined", proxy=node.id, zone=node.locality.zone, fresh=fresh, holds=len(held))
+
+    def end(self, at: At, reason: str, now_ms: float) -> None:
+        self.reporters.pop(at, None)
+        stream = self.streams.pop(at, None)
+        if stream is None or self.at.get(stream.proxy) != at:
+            return
+        del self.at[stream.proxy]
+        self.held_back.pop(stream.proxy, None)
+        self.tap("leave", now_ms, proxy=self.nodes[stream.proxy], reason=reason)
+        self.log.info("proxy left", proxy=self.nodes[stream.proxy], reason=reason)
+        self.hooks.leave(stream.proxy)
+
+    # what goes out
+
+    def pump(self, now_ms: float) -> None:
+        """Send what may be sent to every proxy that something has stirred."""
+        for proxy, until in list(self.held_back.items()):
+            if until <= now_ms:
+                del self.held_back[proxy]
+                self.tables.stirred.add(proxy)
+        for proxy in sorted(self.tables.stirred):
+            at = self.at.get(proxy)
+            if at is None:
+                self.tables.stirred.discard(proxy)
+                continue
+            if at[0].unsent() > self.record.limits.unsent_most_bytes:
+                continue  # it stays stirred: the newest state goes when there is room, no backlog
+            self.tables.stirred.discard(proxy)
+            for response in self.streams[at].pump(now_ms):
+                self.carry(proxy, at, response, now_ms)
+            ledger = self.tables.ledgers.get(proxy)
+            if ledger and ledger.apart:
+                self.held_back[proxy] = max(now_ms, ledger.not_before_ms)
+        if now_ms - self.tended_ms > TEND_MS:
+            self.tended_ms = now_ms
+            self.tend(now_ms)
+
+    def carry(self, proxy: int, at: At, response: Response, now_ms: float) -> None:
+        self.counts["sent"] += 1
+        self.counts["bytes"] += len(response.message)
+        self.counts["resources"] += response.changed + response.removed
+        if response.changed or response.removed:
+            self.tap(
+                "send", now_ms, proxy=self.nodes[proxy], order=response.number,
+                ordered=self.ordered_ms(response.number), lines=response.changed + response.removed,
+                bytes=len(response.message), nonce=response.nonce, type=response.url.rpartition(".")[2],
+            )  # fmt: skip
+        at[0].send(at[1], response.message)
+
+    def tend(self, now_ms: float) -> None:
+        """End streams that acknowledge nothing: an order that is never held must not look like one on its way."""
+        most = self.record.limits.unacknowledged_ms
+        for proxy, at in list(self.at.items()):
+            oldest = self.tables.ledgers[proxy].oldest_flight_ms()
+            if oldest is not None and now_ms - oldest > most:
+                text = f"no acknowledgement within {most:g} ms"
+                self.log.warning("stream ended", proxy=self.nodes[proxy], reason=text)
+                assert self.server
+                self.server.finish(*at, RESOURCE_EXHAUSTED, text)
+                at[0].stop(text)
+                self.end(at, text, now_ms)
+
+    def next_ms(self) -> float:
+        waits = min(self.held_back.values(), default=float("inf"))
+        return min(waits, self.tended_ms + TEND_MS)
+
+    # load reports
+
+    def load(self, at: At, request: lrs_pb2.LoadStatsRequest) -> None:
+        if at not in self.reporters:
+            self.reporters[at] = request.node.id
+            answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True, report_endpoint_granularity=True)
+            answer.load_reporting_interval.FromMilliseconds(round(self.record.fleet.proxies.report_every_ms))
+            at[0].send(at[1], answer.SerializeToString())
+        proxy = self.hooks.proxy_of(self.reporters[at])
+        if proxy is None:
+            return  # its reports are void until its stream stands
+        for stats in request.cluster_stats:
+            self.cluster(proxy, stats)
+
+    def cluster(self, proxy: int, stats: load_report_pb2.ClusterStats) -> None:
+        """One class's sums.  `arrived` and `unanswered` are told as metrics; else they follow from the tries."""
+        covers_ms = stats.load_report_interval.ToNanoseconds() / 1e6
+        arrived = unanswered = told = 0
+        for locality in stats.upstream_locality_stats:
+            for metric in locality.load_metric_stats:
+                if metric.metric_name == "arrived":
+                    arrived, told = arrived + metric.num_requests_finished_with_metric, 1
+                elif metric.metric_name == "unanswered":
+                    unanswered += metric.num_requests_finished_with_metric
+            for row in locality.upstream_endpoint_stats:
+                self.endpoint(proxy, row)
+            if not told:
+                arrived += locality.total_issued_requests
+                unanswered += locality.total_error_requests
+        if not told:
+            arrived += stats.total_dropped_requests
+        self.hooks.report(proxy, stats.cluster_name, covers_ms, arrived, unanswered)
+
+    def endpoint(self, proxy: int, row: load_report_pb2.UpstreamEndpointStats) -> None:
+        good, failed = row.total_successful_requests, row.total_error_requests
+        load: dict[str, float] = {}
+        good_ms = 0.0
+        for metric in row.load_metric_stats:
+            count = metric.num_requests_finished_with_metric
+            if metric.metric_name == "took_ms":
+                good_ms += metric.total_metric_value
+            elif count:
+                load[metric.metric_name] = metric.total_metric_value / count
+        address = row.address.socket_address
+        if good or failed:
+            self.hooks.tried(proxy, address.address, address.port_value, good + failed, failed, good_ms, load)
+
+
+__all__ = ["DELTA", "LOAD", "SOTW", "Hooks", "XdsFront"]
--- /dev/null
+++ b/quillstep/xds/server.py
@@ -0,0 +1,127 @@
+"""Accepts connections for the streaming front and hands what they say to the deciding thread's inbox."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+from google.protobuf.message import DecodeError
+
+from quillstep.settings import LimitsRecord
+from quillstep.xds.grpc import INVALID_ARGUMENT, UNIMPLEMENTED
+from quillstep.xds.http2 import ConnectionBroken, Event, GrpcConnection
+from quillstep.xds.peer import Peer
+
+ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
+DELTA, SOTW = ADS + "DeltaAggregatedResources", ADS + "StreamAggregatedResources"
+LOAD = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
+REQUESTS: dict[str, Any] = {
+    DELTA: discovery_pb2.DeltaDiscoveryRequest,
+    SOTW: discovery_pb2.DiscoveryRequest,
+    LOAD: lrs_pb2.LoadStatsRequest,
+}
+News = tuple  # ("open", peer, stream, path), ("request", peer, stream, message), ("end", peer, stream, why)
+
+
+class Server:
+    """A listening socket and its peers.  `put` hands one piece of news over and blocks while the inbox is full."""
+
+    def __init__(self, listen: str, limits: LimitsRecord, put: Callable[[News], None]) -> None:
+        self.limits, self.put = limits, put
+        self.log = structlog.get_logger("xds")
+        host, _, port = listen.rpartition(":")
+        self.listener = socket.create_server((host.strip("[]"), int(port)), backlog=512)
+        self.address = "{}:{}".format(*self.listener.getsockname()[:2])
+        self.peers: set[Peer] = set()
+        self.methods: dict[tuple[Peer, int], str] = {}
+        self.lock = threading.Lock()
+
+    def start(self) -> None:
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            if len(self.peers) >= self.limits.connections_most:
+                self.log.warning("connection refused", reason="too many connections", most=len(self.peers))
+                sock.close()
+                continue
+            limits = self.limits
+            connection = GrpcConnection(False, limits.message_most_bytes, limits.headers_most_bytes)
+            peer = Peer(
+                sock,
+                connection,
+                self.event,
+                self.closed,
+                write_ms=limits.write_ms,
+                silent_ms=limits.silent_ms,
+                ping_ms=limits.ping_ms,
+                handshake_ms=limits.handshake_ms,
+                unsent_most=limits.unsent_most_bytes,
+            )
+            with self.lock:
+                self.peers.add(peer)
+            peer.start()
+
+    def event(self, peer: Peer, event: Event) -> None:
+        kind, stream = event[0], event[1]
+        if kind == "open":
+            path = event[2]
+            if path not in REQUESTS:
+                self.log.warning("stream refused", reason="unknown method", method=path)
+                peer.with_connection(lambda c: c.finish(stream, UNIMPLEMENTED, f"no method {path}"))
+                return
+            self.methods[peer, stream] = path
+            peer.with_connection(lambda c: c.accept(stream))
+            self.put(("open", peer, stream, path))
+        elif kind == "message":
+            found = self.methods.get((peer, stream))
+            if found is None:
+                return
+            try:
+                message = REQUESTS[found].FromString(event[2])
+            except DecodeError:
+                self.log.warning("stream ended", reason="a message that is no request", method=found)
+                self.methods.pop((peer, stream), None)
+                peer.with_connection(
+                    lambda c: c.finish(stream, INVALID_ARGUMENT, "a message that is no request")
+                )
+                self.put(("end", peer, stream, "a message that is no request"))
+                return
+            self.put(("request", peer, stream, message))
+        elif self.methods.pop((peer, stream), None):
+            if event[2]:
+                self.log.warning("stream ended", reason=event[3], code=event[2])
+            self.put(("end", peer, stream, event[3]))
+
+    def closed(self, peer: Peer, reason: str) -> None:
+        with self.lock:
+            self.peers.discard(peer)
+        streams = [stream for held, stream in list(self.methods) if held is peer]
+        if not streams or not peer.started:
+            self.log.warning("connection ended", reason=reason)
+        for stream in streams:
+            if self.methods.pop((peer, stream), None):
+                self.put(("end", peer, stream, reason))
+
+    def finish(self, peer: Peer, stream: int, status: int, text: str) -> None:
+        """End one stream with a status that its peer can read."""
+        self.methods.pop((peer, stream), None)
+        peer.with_connection(lambda c: c.finish(stream, status, text))
+
+    def stop(self) -> None:
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for peer in list(self.peers):
+            peer.stop("the pilot stops")
+
+
+__all__ = ["DELTA", "LOAD", "SOTW", "ConnectionBroken", "News", "Server"]
