--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,5 +1,6 @@
 """Whole days on loopback: pilots killed, zones lost, answers lost; judged from the record of the sockets."""
 
+import base64
 import socket
 import subprocess
 import sys
@@ -7,11 +8,13 @@
 import msgspec
 import pytest
 from fleet import CLASSES, TIMES, small_day
+from xds.data.orca.v3.orca_load_report_pb2 import OrcaLoadReport
 
 from quillstep.day.children import Child
 from quillstep.day.plan import plan
 from quillstep.day.run import Arm, now_ms
 from quillstep.day.service import service
+from quillstep.pilot.probes import load_of
 from quillstep.rulecheck import judge
 
 KEYED = {**TIMES, "name": "save", "credit": 2.0, "semantics": "keyed", "scope": "all"}
@@ -20,6 +23,7 @@
     {"at_s": 1.0, "for_s": 1.5, "what": "drain", "zone": "a", "count": 1},
     {"at_s": 2.0, "for_s": 1.5, "what": "pilot_kill", "count": 1},
     {"at_s": 2.5, "for_s": 1.0, "what": "proxy_reads_nothing", "count": 1},
+    {"at_s": 3.0, "for_s": 1.0, "what": "proxy_stall", "count": 1},
     {"at_s": 4.0, "for_s": 1.5, "what": "zone_loss", "zone": "b"},
     {"at_s": 5.0, "for_s": 1.0, "what": "proxy_refuses", "count": 1},
 ]
@@ -40,7 +44,13 @@
     fleet = small_day().fleet.model_dump()
     fleet["classes"].append({**KEYED, "window_ms": 3000.0})
     day = small_day(
-        seconds=8.0, fleet=fleet, troubles=ROUGH, endpoints=[{"each_zone": 3}], proxies=6, pilots=2, sotw_proxies=0.17
+        seconds=8.0,
+        fleet=fleet,
+        troubles=ROUGH,
+        endpoints=[{"each_zone": 3}],
+        proxies=6,
+        pilots=2,
+        sotw_proxies=0.17,
     )
     return played(day, tmp_path_factory.mktemp("rough"))
 
@@ -53,14 +63,18 @@
 
 def test_what_may_have_run_is_never_sent_again_unless_its_class_allows_it(rough):
     _, evidence = rough
-    lost = [row for row in evidence.exchanges if any(try_[3] in ("reset", "time-out") for try_ in row["tries"])]
+    lost = [
+        row for row in evidence.exchanges if any(try_[3] in ("reset", "time-out") for try_ in row["tries"])
+    ]
     assert {row["class"] for row in lost} >= {"lookup", "issue"}  # the script did lose answers of both
     for row in lost:
         if row["class"] == "issue":
             assert row["tries"][-1][3] in ("reset", "time-out") or all(
                 try_[3] == "no connection" for try_ in row["tries"][:-1]
             )
-    effects = [row["exchange"] for row in evidence.served if row["effect"] and row["class"] in ("issue", "save")]
+    effects = [
+        row["exchange"] for row in evidence.served if row["effect"] and row["class"] in ("issue", "save")
+    ]
     assert len(effects) == len(set(effects))
 
 
@@ -130,7 +144,9 @@
     script = tmp_path / "small.cue"
     script.write_bytes(msgspec.json.encode(day.model_dump()))
     command = [sys.executable, "-m", "quillstep.cli", "day", str(script), "--record", str(tmp_path / "out")]
-    done = subprocess.run([*command, "--arm", "learnt", "--arm", "even"], capture_output=True, timeout=120, check=False)
+    done = subprocess.run(
+        [*command, "--arm", "learnt", "--arm", "even"], capture_output=True, timeout=120, check=False
+    )
     found = msgspec.json.decode(done.stdout.splitlines()[-1])
     assert done.returncode == 0 and found["rules_broken"] == 0
     assert 0.0 < found["service"] <= 1.0 and set(found["baselines"]) == {"even"}
@@ -152,6 +168,29 @@
     assert done.returncode == 2 and said in done.stderr and "expected" in done.stderr
 
 
+REPORT = OrcaLoadReport(cpu_utilization=0.25, rps_fractional=7.5, named_metrics={"queue": 3.0})
+
+
+@pytest.mark.parametrize(
+    ("header", "load"),
+    [
+        ("TEXT cpu_utilization=0.25,named_metrics.queue=3", {"util": 0.25, "queue": 3.0}),
+        ('JSON {"cpu_utilization": 0.25, "named_metrics": {"queue": 3}}', {"util": 0.25, "queue": 3.0}),
+        (
+            "BIN " + base64.b64encode(REPORT.SerializeToString()).decode(),
+            {"util": 0.25, "qps": 7.5, "queue": 3.0},
+        ),
+        ("TEXT cpu_utilization=much", {}),
+        ("TEXT cpu_utilization=nan", {}),
+        ("JSON [1]", {}),
+        ("BIN ???", {}),
+        ("", {}),
+    ],
+)
+def test_load_is_read_in_each_published_form_and_what_is_none_is_left_out(header, load):
+    assert load_of(header) == load
+
+
 def test_the_plan_of_a_day_follows_from_its_seed():
     day = small_day(troubles=ROUGH)
     assert plan(day) == plan(day)
@@ -160,7 +199,13 @@
 
 @pytest.mark.parametrize(
     ("took", "outcome", "earned"),
-    [(399.0, "ok", 1.0), (401.0, "ok", 0.2), (1300.0, "ok", 0.0), (5.0, "refused", 0.0), (5.0, "failed", 0.0)],
+    [
+        (399.0, "ok", 1.0),
+        (401.0, "ok", 0.2),
+        (1300.0, "ok", 0.0),
+        (5.0, "refused", 0.0),
+        (5.0, "failed", 0.0),
+    ],
 )
 def test_service_is_credit_in_time_over_credit_asked(took, outcome, earned):
     fleet = small_day().fleet
