The second front: tables as files, a whole generation swapped in by one rename

Need: proxies that read files in place of streams, on the same core and under the same rules.

Change: quillstep/files: lanes (which set a proxy's next generation holds; without I/O), packs (discovery responses, one type or shard of a collection a file), the disk (objects linked into generations, one symlink renamed; a lock a root; links and wide permissions refused), the front (a watcher, writers, nothing on disk in the deciding thread). The tables know sets that are applied together, pieces that never left, withdrawals overdue. A proxy that changes fronts takes its versions along.

--- a/quillstep/day/plan.py
+++ b/quillstep/day/plan.py
@@ -6,6 +6,13 @@
 
 from quillstep.settings import DayRecord, TroubleRecord
 
+PROXY_STEPS = {
+    "proxy_moves": "moves",
+    "proxy_stall": "stall",
+    "proxy_refuses": "refuse",
+    "proxy_reads_nothing": "reads_nothing",
+}
+
 
 @dataclass(slots=True)
 class Plan:
@@ -40,6 +47,7 @@
         made.proxies.append({
             "name": f"proxy/{at}", "zone": zone, "usual": day.exchanges_per_s * sizes[at] / sum(sizes),
             "standing": standing, "pilots": [(first_pilot + k) % day.pilots for k in range(day.pilots)],
+            "files": at >= day.proxies - round(day.file_proxies * day.proxies),
             "sotw": at < round(day.sotw_proxies * day.proxies),
         })  # fmt: skip
     for trouble in day.troubles:
@@ -59,10 +67,10 @@
         return
     if what.startswith("proxy"):
         fit = [row["name"] for row in made.proxies if trouble.zone in ("", row["zone"])]
+        if what == "proxy_moves":  # whole states tell no versions of lines to take along
+            fit = [row["name"] for row in made.proxies if row["name"] in fit and not row["sotw"]]
         for name in chance.sample(fit, min(trouble.count, len(fit))):
-            do = {"proxy_stall": "stall", "proxy_refuses": "refuse", "proxy_reads_nothing": "reads_nothing"}[
-                what
-            ]
+            do = PROXY_STEPS[what]
             made.steps.append((at, "proxy", {"do": do, "proxy": name, "for_ms": for_ms}))
         return
     fit = [
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -38,6 +38,8 @@
         self.ports: dict[int, int] = {}
         self.hosts: dict[int, Child] = {}
         self.proxies: dict[str, Child] = {}
+        moves = any(trouble.what == "proxy_moves" for trouble in day.troubles)
+        self.with_files = day.file_proxies > 0 or moves
         self.log = structlog.get_logger("day").bind(arm=decides)
 
     def child(self, name: str, *arguments: str) -> Child:
@@ -81,11 +83,16 @@
         )  # fmt: skip
         self.roster_address = self.roster.wait_for("ready")
 
+    def root(self, at: int) -> str:
+        """Where a pilot writes for proxies that follow files."""
+        return str((self.folder / f"files-{at}").absolute())
+
     def start_pilot(self, at: int) -> None:
         """Start or start over a pilot, on the address that it had."""
         record = PilotRecord(
             name=f"pilot-{at}", seed=self.day.seed + at, listen=self.addresses[at], roster=self.roster_address,
             decides=self.decides, fleet=self.day.fleet, limits=self.day.limits,  # type: ignore[arg-type]
+            files=self.day.files.model_copy(update={"root": self.root(at) if self.with_files else ""}),
             record=str(self.folder / f"pilot-{at}.jsonl"),
         )  # fmt: skip
         path = self.folder / f"pilot-{at}.cue"
@@ -102,7 +109,8 @@
             for row in self.made.proxies[at::count]:
                 standing = [[number, self.ports[number]] for number in row["standing"]]
                 pilots = [self.addresses[k] for k in row["pilots"]] if self.addresses else []
-                rows.append({**row, "standing": standing, "pilots": pilots})
+                roots = [self.root(k) for k in row["pilots"]]
+                rows.append({**row, "standing": standing, "pilots": pilots, "roots": roots})
             host = self.child(f"proxies-{at}", "quillstep.standins.proxies")
             host.say(
                 proxies=rows, seed=day.seed, seconds=day.seconds, knobs=day.fleet.proxies.model_dump(),
@@ -175,7 +183,11 @@
             zones={row["id"]: row["zone"] for row in rows},
             sizes={row["id"]: row["cores"] * row["speed"] for row in rows},
             homes={row["name"]: row["zone"] for row in self.made.proxies},
-            pilots={address: f"pilot-{at}" for at, address in enumerate(self.addresses)},
+            pilots={
+                where: f"pilot-{at}"
+                for at, address in enumerate(self.addresses)
+                for where in (address, self.root(at))
+            },
         )
         return read_evidence(self.folder, found)
 
--- /dev/null
+++ b/quillstep/files/__init__.py
@@ -0,0 +1,1 @@
+"""The second front: the same tables as files, a whole generation swapped in by one rename."""
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -38,6 +38,7 @@
         self.places = {row.name: place for place, row in enumerate(record.fleet.classes)}
         self.numbers: dict[str, int] = {}  # proxies by node name
         self.zones: dict[int, str] = {}  # of joined proxies
+        self.fronts: dict[int, Any] = {}  # who carries to each joined proxy
         self.endpoints: dict[tuple[str, int], int] = {}  # by address
         self.states: dict[int, str] = {}
         self.listed = False  # the roster has spoken
@@ -68,9 +69,15 @@
         self.listed = self.listed or kind != "error"
         self.incoming.lists.append((kind, entries))
 
-    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool) -> int:
+    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool, front: Any = None) -> int:
+        """A proxy is there by this front; one that another front had is dropped there first."""
+        proxy = self.proxy_of(node)
+        before = self.fronts.get(proxy) if proxy is not None else None
+        if proxy is not None and before is not None and before is not front:
+            before.drop(proxy, "it has moved to another front", self.now_ms)
         proxy = self.numbers.setdefault(node, len(self.numbers))
         self.zones[proxy] = zone
+        self.fronts[proxy] = front
         self.tables.join(proxy, zone, held)
         self.incoming.streams.append((proxy, True, zone, usual, fresh))
         self.heard(self.now_ms)
@@ -78,6 +85,7 @@
 
     def leave(self, proxy: int) -> None:
         self.zones.pop(proxy, None)
+        self.fronts.pop(proxy, None)
         self.tables.leave(proxy)
         self.channel.drop(proxy)
         self.incoming.streams.append((proxy, False, "", 0.0, False))
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from quillstep.files.front import FileFront
 from quillstep.pilot.core import Core
 from quillstep.pilot.probes import Prober
 from quillstep.pilot.roster import RosterClient
@@ -53,6 +54,19 @@
         self.front = XdsFront(
             record, self.core.tables, self.core, epoch, self.core.ordered_ms, self.socket_record.tap
         )
+        self.fronts: list[Any] = [self.front]
+        self.files: FileFront | None = None
+        if record.files.root:
+            self.files = FileFront(
+                record,
+                self.core.tables,
+                self.core,
+                epoch,
+                self.core.ordered_ms,
+                self.socket_record.tap,
+                self.inbox.put,
+            )
+            self.fronts.append(self.files)
         self.server = Server(record.listen, record.limits, self.inbox.put)
         self.front.server = self.server
         self.prober = Prober(record.fleet.probes.at_once, record.fleet.probes.timeout_ms, self.inbox.put)
@@ -63,6 +77,8 @@
         """Decide until `stop`; one round's failure is logged with its cause and ends the process."""
         offset_ms = self.now_ms() - time.time() * 1000.0
         self.server.start()
+        if self.files:
+            self.files.start()
         self.roster = RosterClient(
             self.record.roster, self.record.name, self.record.zone, offset_ms, self.inbox.put
         )
@@ -70,6 +86,8 @@
         while not self.stopping:
             self.turn()
         self.server.stop()
+        if self.files:
+            self.files.stop()
         self.socket_record.flush()
 
     @staticmethod
@@ -78,7 +96,8 @@
 
     def turn(self) -> None:
         """Wait for news or for what is due next, take it in, decide, send."""
-        wait_s = (min(self.core.next_ms(), self.front.next_ms()) - self.now_ms()) / 1000.0
+        due = min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
+        wait_s = (due - self.now_ms()) / 1000.0
         try:
             news = self.inbox.get(timeout=min(IDLE_S, wait_s)) if wait_s > 0 else self.inbox.get_nowait()
             self.take(news)
@@ -88,7 +107,9 @@
             pass
         now = self.now_ms()
         self.core.step(now)
-        self.front.pump(now)
+        stirred, self.core.tables.stirred = self.core.tables.stirred, set()
+        for front in self.fronts:
+            front.pump(now, stirred)
         for endpoint, host, port in self.core.probes:
             self.prober.ask(endpoint, host, port)
         self.core.probes = []
@@ -104,6 +125,8 @@
             self.core.probed(*news[1:])
         elif news[0] == "stop":
             self.stopping = True
+        elif news[0] == "files" and self.files:
+            self.files.take(news, now)
         else:
             self.front.take(news, now)
 
--- a/quillstep/settings/__init__.py
+++ b/quillstep/settings/__init__.py
@@ -6,6 +6,7 @@
     ClassRecord,
     DayRecord,
     EndpointKind,
+    FilesRecord,
     FleetRecord,
     LimitsRecord,
     PilotRecord,
@@ -17,7 +18,7 @@
 )
 
 __all__ = [
-    "ChannelRecord",
-    "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FleetRecord", "LimitsRecord", "Origin", "PilotRecord",
-    "ProxyRecord", "RulesRecord", "TroubleRecord", "load", "read", "start_facts",
+    "ChannelRecord", "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FilesRecord", "FleetRecord",
+    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "RulesRecord", "TroubleRecord", "load", "read",
+    "start_facts",
 ]  # fmt: skip
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -95,6 +95,19 @@
     news_most: Annotated[int, Field(ge=1)] = 4096  # messages between readers and the deciding thread
 
 
+class FilesRecord(Record):
+    """The file front: proxies that follow files below `root`; an empty root: no such front."""
+
+    root: str = ""
+    form: Literal["protobuf", "json"] = "protobuf"
+    poll_ms: Positive = 40.0  # between two looks at what proxies wrote
+    silent_ms: Positive = 4000.0  # a proxy without a load report or other word for so long has left
+    writers: Annotated[int, Field(ge=1, le=64)] = 4
+    shards: Annotated[int, Field(ge=1, le=256)] = 16  # files that one table's lines are spread over
+    retry_ms: Positive = 200.0  # after a write that failed, doubled up to 16 times
+    fsync: bool = True
+
+
 class ProbeRecord(Record):
     """Health checks of endpoints."""
 
@@ -127,6 +140,7 @@
     gather_ms: Positive = 20.0  # news that comes within this goes into one round
     fleet: FleetRecord
     limits: LimitsRecord = LimitsRecord()
+    files: FilesRecord = FilesRecord()
     record: str = ""  # a file for what passed on this pilot's sockets
 
 
@@ -158,7 +172,7 @@
     for_s: Positive = 5.0
     what: Literal[
         "stall", "slow", "fail", "silent", "die", "drain", "lose_answers", "zone_loss", "join",
-        "proxy_stall", "proxy_refuses", "proxy_reads_nothing", "pilot_kill", "pilot_stall",
+        "proxy_stall", "proxy_refuses", "proxy_reads_nothing", "pilot_kill", "pilot_stall", "proxy_moves",
     ]  # fmt: skip
     zone: str = ""
     count: Annotated[int, Field(ge=1)] = 1
@@ -179,6 +193,8 @@
     proxies: Annotated[int, Field(ge=1)]
     proxy_processes: Annotated[int, Field(ge=1)] = 2
     sotw_proxies: Share = 0.0  # the part that speaks the older stream
+    file_proxies: Share = 0.0  # the part that follows files
+    files: FilesRecord = FilesRecord()
     pilots: Annotated[int, Field(ge=1)] = 2
     exchanges_per_s: Positive
     callers_skew: NotBelow0 = 1.0  # how unevenly traffic comes to the proxies; 0: evenly
--- a/quillstep/standins/endpoints.py
+++ b/quillstep/standins/endpoints.py
@@ -201,7 +201,7 @@
         _, end = self.schedule(row["work_ms"], at)
         self.host.record.put(**note, effect=True, outcome="run")
         while (now := now_ms()) < max(end, self.stalled_ms):
-            time.sleep((max(end, self.stalled_ms) - now) / 1000.0)
+            time.sleep(max(0.0, max(end, self.stalled_ms) - now) / 1000.0)
         if self.listener is None or (self.loses and self.draw() < self.loses):
             return False
         return self.say(sock, "200 OK", now)
--- a/quillstep/standins/follow.py
+++ b/quillstep/standins/follow.py
@@ -101,13 +101,22 @@
         self.stream = self.load_stream = 0
         self.stalled_ms = self.refuses_ms = 0.0
         self.dials = 0
+        self.ended = threading.Event()
+
+    def end(self) -> None:
+        """Follow no more; what is held stays held."""
+        self.ended.set()
+        if self.client:
+            self.client.close()
+        self.thread.join()
 
     def start(self) -> None:
-        threading.Thread(target=self.run, daemon=True).start()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
 
     def run(self) -> None:
         dial_ms = self.proxy.host.proxies["dial_ms"]
-        while True:
+        while not self.ended.is_set():
             pilot = self.pilots[self.dials % len(self.pilots)]
             reason = ""
             try:
@@ -123,7 +132,7 @@
                 self.client = None
                 self.record(what="stream", up=False, pilot=pilot, reason=reason)
             self.dials += 1
-            time.sleep(dial_ms * (0.5 + self.proxy.draw()) / 1000.0)
+            self.ended.wait(dial_ms * (0.5 + self.proxy.draw()) / 1000.0)
 
     def record(self, **fields: Any) -> None:
         self.proxy.host.record.put(at=now_ms(), proxy=self.proxy.name, **fields)
@@ -164,32 +173,36 @@
     def report(self) -> None:
         """One load report with all sums since the last; without a stream they wait and add up."""
         client = self.client
-        if client is None or not self.load_stream or self.stalled_ms > now_ms():
-            return
-        sums, came, covers_ms = self.proxy.hand_over()
-        request = lrs_pb2.LoadStatsRequest()
-        named = set(came) | ({next(iter(self.proxy.host.classes))} if sums else set())
-        for place, name in enumerate(sorted(named)):
-            stats = request.cluster_stats.add(cluster_name=name)
-            stats.load_report_interval.FromNanoseconds(round(covers_ms * 1e6))
-            locality = stats.upstream_locality_stats.add()
-            locality.locality.zone = self.proxy.zone
-            arrived, unanswered, refused = came.get(name, (0, 0, 0))
-            stats.total_dropped_requests = refused
-            for metric, count in (("arrived", arrived), ("unanswered", unanswered)):
-                row = locality.load_metric_stats.add(metric_name=metric)
-                row.num_requests_finished_with_metric, row.total_metric_value = count, count
-            for address, (good, failed, good_ms, load) in sums.items() if place == 0 else ():
-                told = locality.upstream_endpoint_stats.add()
-                told.address.socket_address.address, told.address.socket_address.port_value = address
-                told.total_successful_requests, told.total_error_requests = good, failed
-                told.total_issued_requests = good + failed
-                met = {"took_ms": [good, good_ms]}
-                met.update({"util" if n == "cpu_utilization" else n: v for n, v in load.items()})
-                for metric, (count, total) in met.items():
-                    row = told.load_metric_stats.add(metric_name=metric, total_metric_value=total)
-                    row.num_requests_finished_with_metric = count
-        client.send(self.load_stream, request.SerializeToString())
+        if client is not None and self.load_stream and self.stalled_ms <= now_ms():
+            client.send(self.load_stream, load_report(self.proxy).SerializeToString())
+
+
+def load_report(proxy: "Proxy") -> lrs_pb2.LoadStatsRequest:
+    """What a proxy met since its last report, which starts anew."""
+    sums, came, covers_ms = proxy.hand_over()
+    request = lrs_pb2.LoadStatsRequest()
+    named = set(came) | ({next(iter(proxy.host.classes))} if sums else set())
+    for place, name in enumerate(sorted(named)):
+        stats = request.cluster_stats.add(cluster_name=name)
+        stats.load_report_interval.FromNanoseconds(round(covers_ms * 1e6))
+        locality = stats.upstream_locality_stats.add()
+        locality.locality.zone = proxy.zone
+        arrived, unanswered, refused = came.get(name, (0, 0, 0))
+        stats.total_dropped_requests = refused
+        for metric, count in (("arrived", arrived), ("unanswered", unanswered)):
+            row = locality.load_metric_stats.add(metric_name=metric)
+            row.num_requests_finished_with_metric, row.total_metric_value = count, count
+        for address, (good, failed, good_ms, load) in sums.items() if place == 0 else ():
+            told = locality.upstream_endpoint_stats.add()
+            told.address.socket_address.address, told.address.socket_address.port_value = address
+            told.total_successful_requests, told.total_error_requests = good, failed
+            told.total_issued_requests = good + failed
+            met = {"took_ms": [good, good_ms]}
+            met.update({"util" if n == "cpu_utilization" else n: v for n, v in load.items()})
+            for metric, (count, total) in met.items():
+                row = told.load_metric_stats.add(metric_name=metric, total_metric_value=total)
+                row.num_requests_finished_with_metric = count
+    return request
 
 
 class DeltaFollower(Follower):
--- a/quillstep/standins/proxies.py
+++ b/quillstep/standins/proxies.py
@@ -15,7 +15,8 @@
 import time
 from typing import Any
 
-from quillstep.standins.follow import DeltaFollower, Held, SotwFollower
+from quillstep.standins.follow import DeltaFollower, Follower, Held, SotwFollower
+from quillstep.standins.follow_files import FileFollower
 from quillstep.standins.process import STACK_BYTES, Record, answer, first_command, now_ms, serve
 
 WORKERS_MOST = 600
@@ -95,8 +96,23 @@
         self.sums: dict[Address, list] = {}  # good, failed, good_ms, load sums by name
         self.came: dict[str, list[int]] = {}  # arrived, unanswered, refused
         self.reported_ms = now_ms()
-        kind = SotwFollower if row["sotw"] else DeltaFollower
-        self.follower = kind(self, row["pilots"]) if row["pilots"] else None
+        self.row = row
+        self.by_files = bool(row.get("files"))
+        self.follower: Follower | FileFollower | None = self.follow() if row["pilots"] else None
+
+    def follow(self) -> "Follower | FileFollower":
+        """How it follows its pilots now: by files, by deltas, by whole states."""
+        if self.by_files:
+            return FileFollower(self, self.row["roots"])
+        return (SotwFollower if self.row["sotw"] else DeltaFollower)(self, self.row["pilots"])
+
+    def move(self) -> None:
+        """Leave one front for the other, with all that it holds."""
+        if self.follower:
+            self.follower.end()
+            self.by_files = not self.by_files
+            self.follower = self.follow()
+            self.follower.start()
 
     # tables
 
@@ -379,7 +395,9 @@
         until = now_ms() + command.get("for_ms", 0.0)
         if do == "stall":
             proxy.stalled_ms = until
-        if proxy.follower:
+        if do == "moves":
+            threading.Thread(target=proxy.move, daemon=True).start()
+        elif proxy.follower:
             if do == "refuse":
                 proxy.follower.refuses_ms = until
             elif do in ("reads_nothing", "stall"):
--- a/quillstep/tables/ledger.py
+++ b/quillstep/tables/ledger.py
@@ -85,10 +85,12 @@
         now_ms: float,
         wants: Callable[[Key], bool],
         desired: Callable[[Key], Content | None],
+        together: bool = False,
     ) -> list[Change]:
         """What should be sent now of the keys the proxy has asked for, in the sequence to send it.
 
-        Keys that turn out not to differ are settled; keys that can't go yet stay marked.
+        Keys that turn out not to differ are settled; keys that can't go yet stay marked.  `together`: the front
+        hands all of it over as one set that is applied as a whole, so that nothing has to wait for anything.
         """
         if self.apart:
             return self.take_apart(now_ms, wants, desired)
@@ -104,7 +106,8 @@
                 settled.append(key)  # it holds this, or it is under way, or it was refused
         for key in settled:
             del self.dirty[key]
-        found = [change for change in found if not self.too_early(change, wants)]
+        if not together:
+            found = [change for change in found if not self.too_early(change, wants)]
         found.sort(key=lambda change: rank(change.key, change.content is None))
         return found
 
@@ -235,6 +238,36 @@
         self.waiting = left
         return done
 
+    def unsend(self, nonce: str) -> None:
+        """What went under this nonce never left: it is to be sent as before."""
+        flight = self.flights.pop(nonce, None)
+        for key, _ in flight.changes if flight else ():
+            if key in self.sent and self.sent[key][1] == nonce:
+                self.mark(key, self.sent.pop(key)[2])
+
+    def merge(self, nonces: Iterable[str], into: str) -> None:
+        """Several pieces become one, the newest: the proxy met them as one."""
+        merged: dict[Key, Change] = {}
+        newest = self.flights[into]
+        for nonce in nonces:
+            for change in self.flights.pop(nonce).changes:
+                if self.sent.get(change.key, ("", "", 0))[1] == nonce:
+                    version, _, number = self.sent[change.key]
+                    self.sent[change.key] = (version, into, number)
+                    merged[change.key] = change
+        merged.update({change.key: change for change in newest.changes})
+        newest.changes = list(merged.values())
+
+    def overdue(self, now_ms: float, most_ms: float) -> list[tuple[str, int]]:
+        """Nonce and endpoint of each withdrawal that has waited longer than this for its acknowledgement."""
+        return [
+            (nonce, change.key[1])
+            for nonce, flight in self.flights.items()
+            if now_ms - flight.sent_ms > most_ms
+            for change in flight.changes
+            if change.key[0] == OUT and change.content
+        ]
+
     def forget(self, keys: Iterable[Key]) -> None:
         """The proxy no longer asks for these; what it holds of them is not known."""
         for key in keys:
--- a/quillstep/tables/world.py
+++ b/quillstep/tables/world.py
@@ -200,11 +200,13 @@
             self.stirred.add(proxy)
             self.answering.add(proxy)
 
-    def take(self, proxy: int, now_ms: float, wants: Callable[[Key], bool]) -> list[Change]:
+    def take(
+        self, proxy: int, now_ms: float, wants: Callable[[Key], bool], together: bool = False
+    ) -> list[Change]:
         """What a front should send this proxy now; `wants` tells what it has asked for."""
         ledger = self.ledgers[proxy]
         self.answering.add(proxy)
-        return ledger.take(now_ms, wants, lambda key: self.desired(ledger, key))
+        return ledger.take(now_ms, wants, lambda key: self.desired(ledger, key), together)
 
     def acknowledge(self, proxy: int, nonce: str) -> list[Change]:
         self.stirred.add(proxy)
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -4,10 +4,9 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import structlog
-from envoy.config.endpoint.v3 import load_report_pb2
 from envoy.service.load_stats.v3 import lrs_pb2
 
 from quillstep.settings import PilotRecord
@@ -15,6 +14,7 @@
 from quillstep.xds import resources
 from quillstep.xds.delta import DeltaStream, Response, StreamFault
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
+from quillstep.xds.loads import Hooks, take_report
 from quillstep.xds.peer import Peer
 from quillstep.xds.server import DELTA, LOAD, SOTW, News, Server
 from quillstep.xds.sotw import SotwStream
@@ -23,34 +23,6 @@
 At = tuple[Peer, int]
 
 
-class Hooks(Protocol):
-    """What the pilot is told."""
-
-    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool) -> int:
-        """A proxy's stream stands; returns its number."""
-
-    def leave(self, proxy: int) -> None:
-        """A proxy's stream is gone."""
-
-    def proxy_of(self, node: str) -> int | None:
-        """The number of a proxy whose stream stands."""
-
-    def report(self, proxy: int, cluster: str, covers_ms: float, arrived: int, unanswered: int) -> None:
-        """What came to a proxy of one class."""
-
-    def tried(
-        self,
-        proxy: int,
-        host: str,
-        port: int,
-        tries: int,
-        failed: int,
-        good_ms: float,
-        load: dict[str, float],
-    ) -> None:
-        """What a proxy met at one endpoint; `good_ms` is the summed time of the good ones."""
-
-
 class XdsFront:
     """All streams of one pilot."""
 
@@ -73,6 +45,7 @@
         self.reporters: dict[At, str] = {}
         self.tended_ms = 0.0
         self.held_back: dict[int, float] = {}  # proxies whose refused parts wait, and until when
+        self.warned: set[tuple[str, int]] = set()
         self.counts = dict.fromkeys(("sent", "acknowledged", "refused", "bytes", "resources"), 0)
         self.log = structlog.get_logger("xds")
 
@@ -138,12 +111,20 @@
             self.server.finish(*before, UNAVAILABLE, "the proxy dialled anew")
             self.end(before, "the proxy dialled anew", now_ms)
         usual = node.metadata.fields["usual"].number_value if "usual" in node.metadata.fields else 0.0
-        stream.proxy = self.hooks.join(node.id, node.locality.zone, usual, held, fresh)
+        stream.proxy = self.hooks.join(node.id, node.locality.zone, usual, held, fresh, self)
         self.at[stream.proxy] = at
         self.nodes[stream.proxy] = node.id
         self.tap("join", now_ms, proxy=node.id, zone=node.locality.zone, fresh=fresh)
         self.log.info("proxy joined", proxy=node.id, zone=node.locality.zone, fresh=fresh, holds=len(held))
 
+    def drop(self, proxy: int, reason: str, now_ms: float) -> None:
+        """Another front has this proxy now."""
+        if proxy in self.at:
+            at = self.at[proxy]
+            assert self.server
+            self.server.finish(*at, UNAVAILABLE, reason)
+            self.end(at, reason, now_ms)
+
     def end(self, at: At, reason: str, now_ms: float) -> None:
         self.reporters.pop(at, None)
         stream = self.streams.pop(at, None)
@@ -157,20 +138,19 @@
 
     # what goes out
 
-    def pump(self, now_ms: float) -> None:
-        """Send what may be sent to every proxy that something has stirred."""
+    def pump(self, now_ms: float, stirred: set[int]) -> None:
+        """Send what may be sent to every proxy of ours that something has stirred."""
         for proxy, until in list(self.held_back.items()):
             if until <= now_ms:
                 del self.held_back[proxy]
-                self.tables.stirred.add(proxy)
-        for proxy in sorted(self.tables.stirred):
+                stirred.add(proxy)
+        for proxy in sorted(stirred):
             at = self.at.get(proxy)
             if at is None:
-                self.tables.stirred.discard(proxy)
                 continue
             if at[0].unsent() > self.record.limits.unsent_most_bytes:
-                continue  # it stays stirred: the newest state goes when there is room, no backlog
-            self.tables.stirred.discard(proxy)
+                self.tables.stirred.add(proxy)  # the newest state goes when there is room, no backlog
+                continue
             for response in self.streams[at].pump(now_ms):
                 self.carry(proxy, at, response, now_ms)
             ledger = self.tables.ledgers.get(proxy)
@@ -196,6 +176,7 @@
         """End streams that acknowledge nothing: an order that is never held must not look like one on its way."""
         most = self.record.limits.unacknowledged_ms
         for proxy, at in list(self.at.items()):
+            warn_overdue(self.tables, proxy, self.nodes[proxy], self.record, self.warned, now_ms, self.log)
             oldest = self.tables.ledgers[proxy].oldest_flight_ms()
             if oldest is not None and now_ms - oldest > most:
                 text = f"no acknowledgement within {most:g} ms"
@@ -221,40 +202,19 @@
         if proxy is None:
             return  # its reports are void until its stream stands
         for stats in request.cluster_stats:
-            self.cluster(proxy, stats)
+            take_report(self.hooks, proxy, stats)
 
-    def cluster(self, proxy: int, stats: load_report_pb2.ClusterStats) -> None:
-        """One class's sums.  `arrived` and `unanswered` are told as metrics; else they follow from the tries."""
-        covers_ms = stats.load_report_interval.ToNanoseconds() / 1e6
-        arrived = unanswered = told = 0
-        for locality in stats.upstream_locality_stats:
-            for metric in locality.load_metric_stats:
-                if metric.metric_name == "arrived":
-                    arrived, told = arrived + metric.num_requests_finished_with_metric, 1
-                elif metric.metric_name == "unanswered":
-                    unanswered += metric.num_requests_finished_with_metric
-            for row in locality.upstream_endpoint_stats:
-                self.endpoint(proxy, row)
-            if not told:
-                arrived += locality.total_issued_requests
-                unanswered += locality.total_error_requests
-        if not told:
-            arrived += stats.total_dropped_requests
-        self.hooks.report(proxy, stats.cluster_name, covers_ms, arrived, unanswered)
 
-    def endpoint(self, proxy: int, row: load_report_pb2.UpstreamEndpointStats) -> None:
-        good, failed = row.total_successful_requests, row.total_error_requests
-        load: dict[str, float] = {}
-        good_ms = 0.0
-        for metric in row.load_metric_stats:
-            count = metric.num_requests_finished_with_metric
-            if metric.metric_name == "took_ms":
-                good_ms += metric.total_metric_value
-            elif count:
-                load[metric.metric_name] = metric.total_metric_value / count
-        address = row.address.socket_address
-        if good or failed:
-            self.hooks.tried(proxy, address.address, address.port_value, good + failed, failed, good_ms, load)
+def warn_overdue(
+    tables: Tables, proxy: int, node: str, record: PilotRecord, warned: set, now_ms: float, log: Any
+) -> None:
+    """Say once of each withdrawal that half the grace has gone without its acknowledgement: it is not done."""
+    for late in tables.ledgers[proxy].overdue(now_ms, 0.5 * record.fleet.rules.drain_grace_ms):
+        if late not in warned:
+            if len(warned) > 10000:
+                warned.clear()
+            warned.add(late)
+            log.warning("drain not acknowledged", proxy=node, endpoint=late[1], version=late[0])
 
 
-__all__ = ["DELTA", "LOAD", "SOTW", "Hooks", "XdsFront"]
+__all__ = ["DELTA", "LOAD", "SOTW", "Hooks", "XdsFront", "warn_overdue"]
