--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -126,6 +126,21 @@
     finish(run(list(sizes), exchanges, seconds, pilots, Path(folder)), out)
 
 
+@bench.command()
+@click.option("--proxies", "sizes", multiple=True, type=int, default=[16, 64, 262], show_default=True)
+@click.option("--exchanges", default=400.0, show_default=True, help="A second, at the largest size.")
+@click.option("--seconds", default=12.0, show_default=True)
+@click.option(
+    "--record", "folder", type=click.Path(), default=".day/bench", help="Where the sockets' record goes."
+)
+@click.option("--out", type=click.Path(), help="A file to keep the result in.")
+def fronts(sizes: tuple[int, ...], exchanges: float, seconds: float, folder: str, out: str | None) -> None:
+    """Streams and files side by side, against whole tables sent again."""
+    from quillstep.bench.fronts import run
+
+    finish(run(list(sizes), exchanges, seconds, Path(folder)), out)
+
+
 def finish(found: dict[str, Any], out: str | None) -> None:
     """A bench's rows as a table, kept in a file if asked, and as the last line."""
     table = Table(title=f"{found['bench']} (loopback; {found['machine']})")
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -115,6 +115,24 @@
     assert traced > 100
 
 
+def test_a_day_on_both_fronts_keeps_the_rules_while_proxies_move_between_them(tmp_path):
+    troubles = [
+        {"at_s": 0.5, "for_s": 1.5, "what": "drain", "zone": "a", "count": 1},
+        {"at_s": 1.0, "for_s": 0.5, "what": "proxy_refuses", "count": 2},
+        {"at_s": 2.0, "for_s": 1.0, "what": "proxy_moves", "count": 4},
+        {"at_s": 3.0, "for_s": 1.5, "what": "pilot_kill", "count": 1},
+        {"at_s": 4.0, "for_s": 1.5, "what": "drain", "zone": "b", "count": 1},
+    ]
+    rows = {"endpoints": [{"each_zone": 3}], "proxies": 6, "pilots": 2, "file_proxies": 0.5}
+    arm, evidence = played(small_day(seconds=6.0, troubles=troubles, **rows), tmp_path)
+    assert judge(evidence) == []
+    by_files = {row["proxy"] for row in evidence.applied if row["type"] == "files"}
+    by_streams = {row["proxy"] for row in evidence.applied if row["type"] != "files"}
+    moved = {step[2]["proxy"] for step in arm.made.steps if step[2].get("do") == "moves"}
+    assert moved <= by_files & by_streams and by_files - moved and by_streams - moved
+    assert not evidence.bare and all(row["outcome"] != "bare" for row in evidence.exchanges)
+
+
 def test_endpoints_drop_keyed_repeats_within_the_window_and_not_after(tmp_path):
     rows = [{**KEYED, "name": "long", "window_ms": 60000.0}, {**KEYED, "name": "short", "window_ms": 0.001}]
     host = Child("endpoints-0", ["quillstep.standins.endpoints"], tmp_path)
