Capture a pilot's life and play it again bit for bit

Need: the users' first wish begins with a record of all that came in, and with proof that a replay is the real pilot.

Change: quillstep/capture (append-only segments of checksummed zstd blocks, an lmdb index, rotation; a torn tail is cut and said, damage before whole blocks is refused; a disk that fails or lags stops the capture, never the pilot); pilot/decide.py (the deciding thread's work without its thread: the running pilot and the replay call the same); quillstep/replay/faithful.py; `quillstep capture ls|show|cut|verify`, `quillstep replay faithful`.

--- /dev/null
+++ b/quillstep/capture/reader.py
@@ -0,0 +1,141 @@
+"""Reads captures: lives, their records, what is torn; cuts a piece out."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import lmdb
+import msgspec
+
+from quillstep.capture.format import (
+    BadBlock,
+    Header,
+    Record,
+    blocks,
+    decode_block,
+    decode_header,
+    encode_block,
+)
+from quillstep.capture.format import encode_header as encode_head
+from quillstep.capture.writer import INDEX
+
+
+@dataclass(slots=True)
+class Life:
+    """One life of one pilot: its segments in sequence, what they hold, where they are torn."""
+
+    header: Header
+    segments: list[Path] = field(default_factory=list)
+    records: int = 0
+    first_ms: float = 0.0
+    last_ms: float = 0.0
+    bytes: int = 0
+    kinds: Counter = field(default_factory=Counter)
+    torn: str = ""  # what was cut off at the end, and where
+
+
+def lives(folder: Path) -> list[Life]:
+    """All lives in a folder, by their first time, read through and counted.  Raises BadBlock for a bad header."""
+    found: dict[str, Life] = {}
+    for path in sorted(folder.glob("*.qcap")):
+        header, _ = decode_header(path.read_bytes())
+        life = found.setdefault(header.epoch, Life(header))
+        life.segments.append(path)
+        life.bytes += path.stat().st_size
+    for life in found.values():
+        for record in read_life(life):
+            life.records += 1
+            life.kinds[record[0]] += 1
+            life.first_ms = life.first_ms or record[2]
+            life.last_ms = max(life.last_ms, record[2])
+    return sorted(found.values(), key=lambda life: life.first_ms)
+
+
+def read_life(life: Life) -> Iterator[Record]:
+    """Its records in sequence.  A torn tail is cut at the last whole block, and said in `torn`.
+
+    A break that is not the tail (a block damaged before whole ones, a segment that is missing) is a BadBlock: what
+    comes after it would follow from what is not there.
+    """
+    last = len(life.segments) - 1
+    for place, path in enumerate(life.segments):
+        data = path.read_bytes()
+        header, at = decode_header(data)
+        if header.segment != place:
+            raise BadBlock(0, f"{path.name} is segment {header.segment}, {place} is missing")
+        try:
+            for block in blocks(data, at):
+                yield from decode_block(block, header.version)
+                at = block.at + block.size
+        except BadBlock as trouble:
+            if place != last or whole_after(data, trouble.at):
+                raise BadBlock(trouble.at, f"{path.name}: {trouble}, and there is more behind it") from None
+            life.torn = f"{path.name}: {trouble}; {len(data) - trouble.at} bytes cut off"
+
+
+def whole_after(data: bytes, at: int) -> bool:
+    """Whether any whole block follows a bad one."""
+    from quillstep.capture.format import MARK
+
+    at = data.find(MARK, at + 1)
+    while at >= 0:
+        try:
+            next(blocks(data, at))
+            return True
+        except (BadBlock, StopIteration):
+            at = data.find(MARK, at + 1)
+    return False
+
+
+def between(life: Life, folder: Path, first_ms: float, last_ms: float) -> Iterator[Record]:
+    """The records of a span; by the index where it knows the blocks, else by reading through."""
+    places = indexed(folder, life.header.epoch, first_ms, last_ms)
+    if places is None:
+        for record in read_life(life):
+            if first_ms <= record[2] <= last_ms:
+                yield record
+        return
+    for segment, at, size in places:
+        data = life.segments[segment].read_bytes()
+        header, _ = decode_header(data[: 2**20])
+        for block in blocks(data[: at + size], at):
+            for record in decode_block(block, header.version):
+                if first_ms <= record[2] <= last_ms:
+                    yield record
+
+
+def indexed(folder: Path, epoch: str, first_ms: float, last_ms: float) -> list[tuple[int, int, int]] | None:
+    """The blocks that meet a span: segment, offset, size; None without an index that reads."""
+    if not (folder / INDEX).exists():
+        return None
+    try:
+        with lmdb.open(str(folder / INDEX), readonly=True, lock=False) as index, index.begin() as read:
+            found = []
+            cursor = read.cursor()
+            prefix = f"{epoch}\0".encode()
+            if not cursor.set_range(prefix):
+                return None
+            for key, value in cursor:
+                if not bytes(key).startswith(prefix):
+                    break
+                segment, at, size, first, last, _ = msgspec.msgpack.decode(value)
+                if first <= last_ms and last >= first_ms:
+                    found.append((segment, at, size))
+            return found
+    except lmdb.Error:
+        return None
+
+
+def cut(life: Life, first_ms: float, last_ms: float, out: Path) -> int:
+    """A piece of a life as a capture of its own; returns its records.  It replays from its beginning only if that is
+    the life's own beginning: what came before is not in it."""
+    out.mkdir(parents=True, exist_ok=True)
+    kept = [record for record in read_life(life) if first_ms <= record[2] <= last_ms]
+    header = Header(life.header.pilot, life.header.epoch, 0, life.header.settings, life.header.wall_offset_ms)
+    path = out / f"{life.header.epoch}-0000.qcap"
+    with path.open("wb") as file:
+        file.write(encode_head(header))
+        for at in range(0, len(kept), 512):
+            file.write(encode_block(kept[at : at + 512]))
+    return len(kept)
--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -103,6 +103,127 @@
         console.print(f"broken: {broken}")
 
 
+@cli.group()
+def capture() -> None:
+    """Captures of pilots: list, show, cut, verify."""
+
+
+def lives_of(folder: str) -> Any:
+    from quillstep.capture import BadBlock, lives
+
+    try:
+        found = lives(Path(folder))
+    except BadBlock as trouble:
+        click.echo(f"quillstep: {trouble}", err=True)
+        sys.exit(1)
+    if not found:
+        click.echo(f"quillstep: no capture in {folder}", err=True)
+        sys.exit(1)
+    return found
+
+
+@capture.command("ls")
+@click.argument("folder", type=click.Path(exists=True))
+def capture_ls(folder: str) -> None:
+    """The lives in a folder: when, how long, how much of what."""
+    table = Table(title=folder)
+    for name in ("life", "segments", "records", "seconds", "kB", "torn"):
+        table.add_column(name, justify="left" if name in ("life", "torn") else "right")
+    for life in lives_of(folder):
+        span = (life.last_ms - life.first_ms) / 1000.0
+        kinds = ", ".join(f"{count} {kind}" for kind, count in life.kinds.most_common())
+        row = [str(len(life.segments)), str(life.records), f"{span:.1f}", str(life.bytes // 1000)]
+        table.add_row(f"{life.header.epoch}\n{kinds}", *row, life.torn or "no")
+    Console().print(table)
+
+
+@capture.command("show")
+@click.argument("folder", type=click.Path(exists=True))
+@click.option("--life", help="The life's name; the first one if left out.")
+@click.option("--from", "begin", default=0.0, help="Seconds from the life's beginning.")
+@click.option("--for", "span", default=1.0, show_default=True, help="Seconds.")
+@click.option("--kind", "kinds", multiple=True, help="Only records of this kind.")
+def capture_show(folder: str, life: str | None, begin: float, span: float, kinds: tuple[str, ...]) -> None:
+    """Records of a span, a JSON line each; messages by their size."""
+    from quillstep.capture.reader import between
+
+    found = chosen(lives_of(folder), life)
+    first = found.first_ms + begin * 1000.0
+    for record in between(found, Path(folder), first, first + span * 1000.0):
+        if not kinds or record[0] in kinds:
+            shown = [f"{len(each)} bytes" if isinstance(each, bytes) else each for each in record]
+            click.echo(msgspec.json.encode(shown).decode())
+
+
+def chosen(found: Any, life: str | None) -> Any:
+    matching = [each for each in found if life in (None, each.header.epoch)]
+    if not matching:
+        click.echo(
+            f"quillstep: no life {life}; there are {', '.join(e.header.epoch for e in found)}", err=True
+        )
+        sys.exit(2)
+    return matching[0]
+
+
+@capture.command("cut")
+@click.argument("folder", type=click.Path(exists=True))
+@click.argument("out", type=click.Path())
+@click.option("--life", help="The life's name; the first one if left out.")
+@click.option("--for", "span", required=True, type=float, help="Seconds from the life's beginning.")
+def capture_cut(folder: str, out: str, life: str | None, span: float) -> None:
+    """The beginning of a life as a capture of its own; it replays like the whole."""
+    from quillstep.capture.reader import cut
+
+    found = chosen(lives_of(folder), life)
+    count = cut(found, found.first_ms, found.first_ms + span * 1000.0, Path(out))
+    click.echo(f"{out}: {count} records of {found.header.epoch}")
+
+
+@capture.command("verify")
+@click.argument("folder", type=click.Path(exists=True))
+def capture_verify(folder: str) -> None:
+    """Read all of it, checksums included; status 1 if any of it is damaged, 0 if at most a tail is torn."""
+    for life in lives_of(folder):
+        click.echo(
+            f"{life.header.epoch}: {life.records} records whole"
+            + (f"; torn: {life.torn}" if life.torn else "")
+        )
+
+
+@cli.group()
+def replay() -> None:
+    """Captured days played again."""
+
+
+@replay.command()
+@click.argument("folder", type=click.Path(exists=True))
+def faithful(folder: str) -> None:
+    """Play every life of a capture through the pilot's own core; its orders must come out bit for bit.
+
+    The last line of standard output is one JSON object; status 1 at the first difference.
+    """
+    import time
+
+    from quillstep.capture import read_life
+    from quillstep.replay.faithful import Replay
+
+    logs.set_up("auto", "error")
+    rows = []
+    for life in lives_of(folder):
+        begun = time.perf_counter()
+        outcome = Replay(life.header).play(read_life(life))
+        took = time.perf_counter() - begun
+        rows.append({
+            "life": life.header.epoch, "identical": outcome.identical, "rounds": outcome.rounds,
+            "records": outcome.records, "digest": outcome.digest, "seconds": round(outcome.span_ms / 1000.0, 1),
+            "times_real": round(outcome.span_ms / 1000.0 / max(took, 1e-9), 1), "torn": life.torn,
+            "difference": outcome.difference,
+        })  # fmt: skip
+    same = all(row["identical"] for row in rows)
+    click.echo(msgspec.json.encode({"identical": same, "lives": rows}).decode())
+    sys.exit(0 if same else 1)
+
+
 @cli.group()
 def bench() -> None:
     """Measurements on loopback; the last line of standard output is one JSON object."""
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -93,6 +93,7 @@
             name=f"pilot-{at}", seed=self.day.seed + at, listen=self.addresses[at], roster=self.roster_address,
             decides=self.decides, fleet=self.day.fleet, limits=self.day.limits,  # type: ignore[arg-type]
             files=self.day.files.model_copy(update={"root": self.root(at) if self.with_files else ""}),
+            capture={"folder": str(self.folder / f"capture-{at}")} if self.day.capture else {},  # type: ignore[arg-type]
             record=str(self.folder / f"pilot-{at}.jsonl"),
         )  # fmt: skip
         path = self.folder / f"pilot-{at}.cue"
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -51,6 +51,7 @@
         self.placed: list[tuple[int, str, int]] = []
         self.now_ms = 0.0
         self.rounds = 0
+        self.orders: list[list[Any]] | None = None  # of the last round, where somebody wants them kept
         self.log = structlog.get_logger("pilot")
 
     # news
@@ -160,7 +161,11 @@
         self.placed = []
         self.ordered[self.tables.number] = now_ms
         self.ordered.pop(self.tables.number - ORDERS_KEPT, None)
-        self.planner.round(incoming, Writer(self))
+        if self.orders is not None:
+            self.orders = []
+        self.planner.round(
+            incoming, Writer(self) if self.orders is None else KeepingWriter(self, self.orders)
+        )
         self.channel.put(self.tables.commit(), now_ms)
         self.rounds += 1
 
@@ -206,3 +211,20 @@
 
     def note(self, text: str) -> None:
         self.core.log.info("note", reason=text)
+
+
+class KeepingWriter:
+    """Keeps each order as a plain list, and passes it on."""
+
+    def __init__(self, core: Core, kept: list[list[Any]]) -> None:
+        self.writer, self.kept = Writer(core), kept
+
+    def __getattr__(self, name: str) -> Any:
+        order = getattr(self.writer, name)
+
+        def write(*arguments: Any) -> None:
+            plain = [list(each) if isinstance(each, range | tuple) else each for each in arguments]
+            self.kept.append([name, *plain])
+            order(*arguments)
+
+        return write
--- /dev/null
+++ b/quillstep/pilot/decide.py
@@ -0,0 +1,63 @@
+"""The deciding thread's work without its thread: news in, one turn, orders and responses out.  Time is an argument.
+
+The running pilot calls this with its clock and sockets; a replay calls it with a captured day's.  What came in, in
+which turn and what was full at its end are all that decide what comes out.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from quillstep.files.front import FileFront
+from quillstep.files.lane import Lane
+from quillstep.pilot.core import Core
+from quillstep.settings import PilotRecord
+from quillstep.xds.front import XdsFront
+
+
+class Decider:
+    """Core and fronts of one pilot.  `put` is where a file front's threads hand their news over."""
+
+    def __init__(
+        self,
+        record: PilotRecord,
+        epoch: str,
+        tap: Callable[..., None],
+        put: Callable[[tuple], None],
+        disk: Any = None,
+    ) -> None:
+        self.core = Core(record)
+        ordered = self.core.ordered_ms
+        self.streams = XdsFront(record, self.core.tables, self.core, epoch, ordered, tap)
+        self.fronts: list[Any] = [self.streams]
+        self.files: FileFront | None = None
+        if record.files.root:
+            self.files = FileFront(record, self.core.tables, self.core, epoch, ordered, tap, put, disk)
+            self.fronts.append(self.files)
+
+    def take(self, news: tuple, now_ms: float) -> None:
+        """One piece of news, of whatever kind."""
+        self.core.now_ms = now_ms
+        if news[0] == "roster":
+            self.core.roster(*news[1:])
+            self.core.heard(now_ms)
+        elif news[0] == "probe":
+            self.core.probed(*news[1:])
+        elif news[0] == "files":
+            if self.files:
+                self.files.take(news, now_ms)
+        else:
+            self.streams.take(news, now_ms)
+
+    def turn(self, now_ms: float) -> None:
+        """Let pushes leave, decide if a round is due, and have the fronts send."""
+        self.core.step(now_ms)
+        stirred, self.core.tables.stirred = self.core.tables.stirred, set()
+        for front in self.fronts:
+            front.pump(now_ms, stirred)
+
+    def next_ms(self) -> float:
+        """When a turn has something to do without any news."""
+        return min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
+
+
+__all__ = ["Decider", "Lane"]
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -9,12 +9,12 @@
 import msgspec
 import structlog
 
-from quillstep.files.front import FileFront
-from quillstep.pilot.core import Core
+from quillstep.capture.writer import Capture
+from quillstep.pilot.decide import Decider
 from quillstep.pilot.probes import Prober
 from quillstep.pilot.roster import RosterClient
+from quillstep.pilot.tell import Teller
 from quillstep.settings import PilotRecord
-from quillstep.xds.front import XdsFront
 from quillstep.xds.peer import STACK_BYTES
 from quillstep.xds.server import Server
 
@@ -42,53 +42,61 @@
 
 
 class Pilot:
-    """Wires core, front, prober and roster together; `run` is the deciding thread."""
+    """Wires decider, prober, roster and capture together; `run` is the deciding thread."""
 
     def __init__(self, record: PilotRecord) -> None:
         threading.stack_size(STACK_BYTES)
         self.record = record
-        self.inbox: queue.Queue[tuple] = queue.Queue(record.limits.news_most)
-        self.core = Core(record)
+        self.inbox: queue.Queue[tuple[float, tuple]] = queue.Queue(record.limits.news_most)
         self.socket_record = SocketRecord(record.record)
-        epoch = f"{record.name}-{os.getpid()}"
-        self.front = XdsFront(
-            record, self.core.tables, self.core, epoch, self.core.ordered_ms, self.socket_record.tap
-        )
-        self.fronts: list[Any] = [self.front]
-        self.files: FileFront | None = None
-        if record.files.root:
-            self.files = FileFront(
-                record,
-                self.core.tables,
-                self.core,
-                epoch,
-                self.core.ordered_ms,
-                self.socket_record.tap,
-                self.inbox.put,
+        self.epoch = f"{record.name}-{os.getpid()}"
+        self.decider = Decider(record, self.epoch, self.tap, self.put)
+        self.core = self.decider.core
+        self.capture: Capture | None = None
+        self.teller = Teller()
+        if record.capture.folder:
+            self.core.orders = []
+            self.capture = Capture(
+                record.capture.folder,
+                record.name,
+                self.epoch,
+                record.model_dump(),
+                record.capture.segment_bytes,
             )
-            self.fronts.append(self.files)
-        self.server = Server(record.listen, record.limits, self.inbox.put)
-        self.front.server = self.server
-        self.prober = Prober(record.fleet.probes.at_once, record.fleet.probes.timeout_ms, self.inbox.put)
+        self.server = Server(record.listen, record.limits, self.put)
+        self.decider.streams.server = self.server
+        self.prober = Prober(record.fleet.probes.at_once, record.fleet.probes.timeout_ms, self.put)
         self.stopping = False
         self.log = structlog.get_logger("pilot")
 
+    def put(self, news: tuple) -> None:
+        """Hand news to the deciding thread; blocks while its inbox is full."""
+        self.inbox.put((self.now_ms(), news))
+
+    def tap(self, what: str, at_ms: float, **fields: Any) -> None:
+        self.socket_record.tap(what, at_ms, **fields)
+        if self.capture:
+            self.capture.put(["sent", at_ms, at_ms, what, fields])
+
     def run(self) -> None:
         """Decide until `stop`; one round's failure is logged with its cause and ends the process."""
         offset_ms = self.now_ms() - time.time() * 1000.0
         self.server.start()
-        if self.files:
-            self.files.start()
+        if self.decider.files:
+            self.decider.files.start()
         self.roster = RosterClient(
-            self.record.roster, self.record.name, self.record.zone, offset_ms, self.inbox.put
+            self.record.roster, self.record.name, self.record.zone, offset_ms, self.put
         )
         self.log.info("pilot ready", pilot=self.record.name, address=self.server.address)
         while not self.stopping:
             self.turn()
         self.server.stop()
-        if self.files:
-            self.files.stop()
+        if self.decider.files:
+            self.decider.files.stop()
         self.socket_record.flush()
+        if self.capture:
+            self.capture.close()
+            self.log.info("capture closed", records=self.capture.written, cpu_s=round(self.capture.cpu_s, 3))
 
     @staticmethod
     def now_ms() -> float:
@@ -96,39 +104,36 @@
 
     def turn(self) -> None:
         """Wait for news or for what is due next, take it in, decide, send."""
-        due = min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
-        wait_s = (due - self.now_ms()) / 1000.0
+        wait_s = (self.decider.next_ms() - self.now_ms()) / 1000.0
         try:
-            news = self.inbox.get(timeout=min(IDLE_S, wait_s)) if wait_s > 0 else self.inbox.get_nowait()
-            self.take(news)
+            first = self.inbox.get(timeout=min(IDLE_S, wait_s)) if wait_s > 0 else self.inbox.get_nowait()
+            self.take(*first)
             for _ in range(BATCH):
-                self.take(self.inbox.get_nowait())
+                self.take(*self.inbox.get_nowait())
         except queue.Empty:
             pass
         now = self.now_ms()
-        self.core.step(now)
-        stirred, self.core.tables.stirred = self.core.tables.stirred, set()
-        for front in self.fronts:
-            front.pump(now, stirred)
+        rounds = self.core.rounds
+        self.decider.turn(now)
+        if self.capture:
+            full = [self.teller.number(peer) for peer in self.decider.streams.full]
+            self.capture.put(["step", now, now, full])
+            if self.core.rounds != rounds:
+                self.capture.put(["orders", now, now, self.core.rounds, self.core.orders])
+            self.capture.flush()
         for endpoint, host, port in self.core.probes:
             self.prober.ask(endpoint, host, port)
         self.core.probes = []
         self.socket_record.flush()
 
-    def take(self, news: tuple) -> None:
-        now = self.now_ms()
-        self.core.now_ms = now
-        if news[0] == "roster":
-            self.core.roster(*news[1:])
-            self.core.heard(now)
-        elif news[0] == "probe":
-            self.core.probed(*news[1:])
-        elif news[0] == "stop":
+    def take(self, arrived_ms: float, news: tuple) -> None:
+        if news[0] == "stop":
             self.stopping = True
-        elif news[0] == "files" and self.files:
-            self.files.take(news, now)
-        else:
-            self.front.take(news, now)
+            return
+        now = self.now_ms()
+        if self.capture:
+            self.capture.put(self.teller.record(news, arrived_ms, now))
+        self.decider.take(news, now)
 
     def stop(self) -> None:
-        self.inbox.put(("stop",))
+        self.put(("stop",))
--- /dev/null
+++ b/quillstep/pilot/tell.py
@@ -0,0 +1,54 @@
+"""News as records of a capture, and back; one place for both, so that what is written is what is replayed."""
+
+from typing import Any
+
+import msgspec
+
+from quillstep.capture.format import Record
+from quillstep.files.front import Hello, Job, Parked
+from quillstep.tables import Content
+
+
+class Teller:
+    """Writes news as records; peers get numbers as they come."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[Any, int] = {}
+
+    def number(self, peer: Any) -> int:
+        return self.numbers.setdefault(peer, len(self.numbers))
+
+    def record(self, news: tuple, arrived_ms: float, taken_ms: float) -> Record:
+        kind = news[0]
+        times: Record = [kind, arrived_ms, taken_ms]
+        if kind == "request":
+            return [*times, self.number(news[1]), news[2], "", news[4]]
+        if kind in ("open", "end"):
+            return [*times, self.number(news[1]), news[2], str(news[3])]
+        if kind == "roster":
+            addresses = [[number, host, port] for number, (host, port) in news[3].items()]
+            return [*times, news[1], [list(entry) for entry in news[2]], addresses]
+        if kind == "files":
+            return [*times, *tell_files(news)]
+        return [*times, *news[1:]]
+
+
+def tell_files(news: tuple) -> list[Any]:
+    _, kind, what, data, more = news
+    if kind == "written":
+        return [kind, what.directory, [what.generation.number, data], more]
+    if isinstance(data, Parked):
+        contents = [[list(key), c.version, [*c.what]] for key, c in data.contents.items()]
+        return [kind, what, [msgspec.to_builtins(data.hello), data.newest, data.holds, contents], more]
+    return [kind, what, data, more]
+
+
+def parked_of(told: list[Any] | str) -> Parked | str:
+    if isinstance(told, str):
+        return told
+    hello, newest, holds, contents = told
+    made = {tuple(key): Content(version, tuple(what)) for key, version, what in contents}
+    return Parked(msgspec.convert(hello, Hello), newest, holds, made)
+
+
+__all__ = ["Job", "Teller", "parked_of", "tell_files"]
--- /dev/null
+++ b/quillstep/replay/faithful.py
@@ -0,0 +1,187 @@
+"""The faithful replay: a captured life through the same decider; its orders must come out bit for bit.
+
+The clock is the capture's, the transport takes whatever is sent, the seed is the settings'.  The first difference is
+told with its round and with what had come in since the round before.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+
+from quillstep.capture.format import Header, Record
+from quillstep.files.disk import Disk
+from quillstep.pilot.decide import Decider
+from quillstep.pilot.tell import parked_of
+from quillstep.settings import PilotRecord
+from quillstep.xds.server import REQUESTS
+
+CAUSES_MOST = 12
+
+
+class PlayedPeer:
+    """A peer of a captured day: takes what is sent, is as full as it was then."""
+
+    def __init__(self, number: int) -> None:
+        self.number, self.is_full = number, False
+
+    def unsent(self) -> float:
+        return float("inf") if self.is_full else 0.0
+
+    def send(self, stream: int, message: bytes) -> bool:
+        return True
+
+    def stop(self, reason: str) -> None:
+        """Its end comes from the capture."""
+
+
+class PlayedServer:
+    """A server without sockets."""
+
+    def finish(self, peer: PlayedPeer, stream: int, status: int, text: str) -> None:
+        """Its end comes from the capture."""
+
+
+class PlayedDisk(Disk):
+    """A disk that is never touched: what was read and written comes from the capture."""
+
+    def __init__(self) -> None:
+        self.root = ""
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a replay came to; `digest` is over all orders of all rounds."""
+
+    rounds: int = 0
+    records: int = 0
+    span_ms: float = 0.0
+    digest: str = ""
+    difference: dict[str, Any] = field(default_factory=dict)
+    sent: int = 0
+
+    @property
+    def identical(self) -> bool:
+        return not self.difference
+
+
+class Replay:
+    """One life played again; `change` makes another record of the settings, for orders that may then differ."""
+
+    def __init__(self, header: Header, record: PilotRecord | None = None) -> None:
+        self.record = record or PilotRecord.model_validate(header.settings)
+        self.decider = Decider(self.record, header.epoch, self.tap, self.never, PlayedDisk())
+        self.decider.streams.server = PlayedServer()  # type: ignore[assignment]
+        self.core = self.decider.core
+        self.core.orders = []
+        self.peers: dict[int, PlayedPeer] = {}
+        self.methods: dict[tuple[int, int], str] = {}
+        self.jobs: dict[tuple[str, int], Any] = {}
+        self.outcome = Outcome()
+        self.hash = xxhash.xxh3_128()
+        self.causes: list[str] = []
+        self.round_ms = 0.0
+
+    def tap(self, what: str, at_ms: float, **fields: Any) -> None:
+        self.outcome.sent += what == "send"
+
+    @staticmethod
+    def never(news: tuple) -> None:
+        raise AssertionError("a replay starts no threads")
+
+    def play(self, records: Iterable[Record]) -> Outcome:
+        """All records in sequence; stops at the first difference."""
+        first = None
+        for record in records:
+            first = record[2] if first is None else first
+            self.outcome.records += 1
+            self.outcome.span_ms = record[2] - first
+            self.one(record)
+            if self.outcome.difference:
+                break
+        self.outcome.digest = self.hash.hexdigest()
+        return self.outcome
+
+    def one(self, record: Record) -> None:
+        kind, taken = record[0], record[2]
+        if kind == "step":
+            self.step(taken, record[3])
+        elif kind == "orders":
+            self.compare(record)
+        elif kind != "sent":
+            if len(self.causes) < CAUSES_MOST:
+                self.causes.append(f"{kind} at {taken:.1f}")
+            news = self.news(record)
+            if news:
+                self.decider.take(news, taken)
+
+    def peer(self, number: int) -> PlayedPeer:
+        return self.peers.setdefault(number, PlayedPeer(number))
+
+    def news(self, record: Record) -> tuple | None:
+        """A record as the news that it was."""
+        kind, rest = record[0], record[3:]
+        if kind == "open":
+            self.methods[rest[0], rest[1]] = rest[2]
+            return ("open", self.peer(rest[0]), rest[1], rest[2])
+        if kind == "request":
+            method = self.methods[rest[0], rest[1]]
+            message = REQUESTS[method].FromString(rest[3])
+            return ("request", self.peer(rest[0]), rest[1], message, rest[3])
+        if kind == "end":
+            return ("end", self.peer(rest[0]), rest[1], rest[2])
+        if kind == "roster":
+            addresses = {number: (host, port) for number, host, port in rest[2]}
+            return ("roster", rest[0], [tuple(entry) for entry in rest[1]], addresses)
+        if kind == "files":
+            return self.file_news(rest)
+        return (kind, *rest)
+
+    def file_news(self, rest: list[Any]) -> tuple | None:
+        kind, what, data, more = rest
+        if kind == "written":
+            job = self.jobs.pop((what, data[0]), None)
+            return ("files", kind, job, data[1], more) if job else None
+        return ("files", kind, what, parked_of(data) if kind == "hello" else data, more)
+
+    def step(self, now_ms: float, full: list[int]) -> None:
+        for peer in self.peers.values():
+            peer.is_full = peer.number in full
+        self.decider.turn(now_ms)
+        self.core.probes = []
+        if self.decider.files:
+            while not self.decider.files.jobs.empty():
+                job = self.decider.files.jobs.get()
+                if job:
+                    self.jobs[job.directory, job.generation.number] = job
+
+    def compare(self, record: Record) -> None:
+        """The module's orders of a round, against those of the capture."""
+        number, orders = record[3], record[4]
+        made = self.core.orders or []
+        self.hash.update(msgspec.msgpack.encode([self.core.rounds, made]))
+        self.outcome.rounds = self.core.rounds
+        if self.core.rounds != number:
+            self.differ(record, f"round {number}", f"round {self.core.rounds}")
+        elif plain(made) != orders:
+            at = next((k for k, (a, b) in enumerate(zip(plain(made), orders, strict=False)) if a != b), None)
+            at = min(len(made), len(orders)) if at is None else at
+            self.differ(
+                record,
+                orders[at] if at < len(orders) else "no further order",
+                plain(made)[at] if at < len(made) else "no further order",
+            )
+        self.causes, self.round_ms = [], record[2]
+
+    def differ(self, record: Record, captured: Any, replayed: Any) -> None:
+        self.outcome.difference = {
+            "round": record[3], "at_ms": record[2], "captured": captured, "replayed": replayed,
+            "since_the_round_before": self.causes,
+        }  # fmt: skip
+
+
+def plain(orders: list[list[Any]]) -> list[list[Any]]:
+    """Orders as they come back from a capture."""
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(orders))
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -108,6 +108,13 @@
     fsync: bool = True
 
 
+class CaptureRecord(Record):
+    """Where all that comes in is captured; an empty folder: nowhere."""
+
+    folder: str = ""
+    segment_bytes: Annotated[int, Field(ge=4096)] = 32 * 2**20
+
+
 class ProbeRecord(Record):
     """Health checks of endpoints."""
 
@@ -141,6 +148,7 @@
     fleet: FleetRecord
     limits: LimitsRecord = LimitsRecord()
     files: FilesRecord = FilesRecord()
+    capture: CaptureRecord = CaptureRecord()
     record: str = ""  # a file for what passed on this pilot's sockets
 
 
@@ -195,6 +203,7 @@
     sotw_proxies: Share = 0.0  # the part that speaks the older stream
     file_proxies: Share = 0.0  # the part that follows files
     files: FilesRecord = FilesRecord()
+    capture: bool = False  # pilots capture what comes in, below the day's record
     pilots: Annotated[int, Field(ge=1)] = 2
     exchanges_per_s: Positive
     callers_skew: NotBelow0 = 1.0  # how unevenly traffic comes to the proxies; 0: evenly
--- a/quillstep/standins/roster.py
+++ b/quillstep/standins/roster.py
@@ -69,7 +69,7 @@
         elif kind == "end":
             self.subscribers.pop((news[1], news[2]), None)
         elif kind == "request":
-            _, peer, stream, request = news
+            _, peer, stream, request, _ = news
             known = self.subscribers.get((peer, stream))
             if known is None and request.resource_names_subscribe:
                 known = self.subscribers[peer, stream] = Subscriber(peer, stream, request.node.id)
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -45,6 +45,7 @@
         self.reporters: dict[At, str] = {}
         self.tended_ms = 0.0
         self.held_back: dict[int, float] = {}  # proxies whose refused parts wait, and until when
+        self.full: list[Peer] = []  # peers that had no room at the last pump
         self.warned: set[tuple[str, int]] = set()
         self.counts = dict.fromkeys(("sent", "acknowledged", "refused", "bytes", "resources"), 0)
         self.log = structlog.get_logger("xds")
@@ -140,6 +141,7 @@
 
     def pump(self, now_ms: float, stirred: set[int]) -> None:
         """Send what may be sent to every proxy of ours that something has stirred."""
+        self.full = []
         for proxy, until in list(self.held_back.items()):
             if until <= now_ms:
                 del self.held_back[proxy]
@@ -149,6 +151,7 @@
             if at is None:
                 continue
             if at[0].unsent() > self.record.limits.unsent_most_bytes:
+                self.full.append(at[0])
                 self.tables.stirred.add(proxy)  # the newest state goes when there is room, no backlog
                 continue
             for response in self.streams[at].pump(now_ms):
--- a/quillstep/xds/server.py
+++ b/quillstep/xds/server.py
@@ -24,7 +24,7 @@
     SOTW: discovery_pb2.DiscoveryRequest,
     LOAD: lrs_pb2.LoadStatsRequest,
 }
-News = tuple  # ("open", peer, stream, path), ("request", peer, stream, message), ("end", peer, stream, why)
+News = tuple  # ("open", peer, stream, path), ("request", peer, stream, message, its bytes), ("end", peer, stream, why)
 
 
 class Server:
@@ -95,7 +95,7 @@
                 )
                 self.put(("end", peer, stream, "a message that is no request"))
                 return
-            self.put(("request", peer, stream, message))
+            self.put(("request", peer, stream, message, event[2]))
         elif self.methods.pop((peer, stream), None):
             if event[2]:
                 self.log.warning("stream ended", reason=event[3], code=event[2])
