What-if replays in virtual time; a generation's manifest without versions

Need: would a different setting have spared the late answers?

The manifest names files and hashes alone.

--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -12,7 +12,7 @@
 from rich.table import Table
 
 from quillstep.cli import logs
-from quillstep.settings import DayRecord, Fault, PilotRecord, load
+from quillstep.settings import DayRecord, Fault, PilotRecord, changed, load
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -68,14 +68,20 @@
 @click.option("--record", "folder", type=click.Path(), default=".day", help="Where the sockets' record goes.")
 @click.option("--arm", "arms", multiple=True, help="Only these: learnt, standing, even, listed.")
 @click.option("--seed", type=int, help="Another seed than the script's.")
-def day(script: str, folder: str, arms: tuple[str, ...], seed: int | None) -> None:
+@click.option("--set", "changes", multiple=True, help="path=value in the script's record.")
+def day(script: str, folder: str, arms: tuple[str, ...], seed: int | None, changes: tuple[str, ...]) -> None:
     """Play a scripted day on loopback and judge the five rules from the sockets' record.
 
     The last line of standard output is one JSON object.
     """
     record = checked(DayRecord, script)
     if seed is not None:
-        record = record.model_copy(update={"seed": seed})
+        changes = (*changes, f"seed={seed}")
+    try:
+        record = changed(record, changes_of(changes))
+    except Fault as fault:
+        click.echo(f"quillstep: {fault}", err=True)
+        sys.exit(2)
     from quillstep.day.children import ChildError
     from quillstep.day.run import play_day
 
@@ -224,6 +230,133 @@
     sys.exit(0 if same else 1)
 
 
+def changes_of(texts: tuple[str, ...]) -> dict[str, Any]:
+    from quillstep.settings import parse_changes
+
+    try:
+        return parse_changes(texts)
+    except Fault as fault:
+        click.echo(f"quillstep: {fault}", err=True)
+        sys.exit(2)
+
+
+def daybook_of(folder: str) -> Any:
+    from quillstep.capture import BadBlock
+    from quillstep.replay.daybook import read_daybook
+
+    logs.set_up("auto", "error")
+    try:
+        return read_daybook(Path(folder))
+    except (OSError, BadBlock) as trouble:
+        click.echo(f"quillstep: {trouble}", err=True)
+        sys.exit(2)
+
+
+SET = "path=value in a pilot's settings, e.g. fleet.proxies.ejects=3."
+
+
+@replay.command()
+@click.argument("folder", type=click.Path(exists=True))
+@click.option("--set", "changes", multiple=True, help=SET)
+@click.option(
+    "--against",
+    "against",
+    multiple=True,
+    help="The same, for the day to compare with; as it was if left out.",
+)
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--chart", type=click.Path(), help="A PNG of service over time.")
+@click.option("--out", type=click.Path(), help="A file to keep the result in.")
+def compare(
+    folder: str,
+    changes: tuple[str, ...],
+    against: tuple[str, ...],
+    seeds: int,
+    chart: str | None,
+    out: str | None,
+) -> None:
+    """Would another setting have helped?  Replays a captured day with it, beside the day as it was.
+
+    FOLDER is one arm of a day played with captures.  The last line of standard output is one JSON object.
+    """
+    from quillstep.replay.whatif import compare as compare_days
+
+    book = daybook_of(folder)
+    try:
+        found = compare_days(book, changes_of(against), changes_of(changes), seeds)
+    except Fault as fault:
+        click.echo(f"quillstep: {fault}", err=True)
+        sys.exit(2)
+    show_comparison(folder, found)
+    if chart:
+        from quillstep.replay.charts import service_over_time
+
+        service_over_time(found, Path(chart))
+    if out:
+        Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(found)) + b"\n")
+    click.echo(msgspec.json.encode(found).decode())
+
+
+def show_comparison(folder: str, found: dict[str, Any]) -> None:
+    """A comparison as tables, on standard error; it says when it can't tell."""
+    console = Console(stderr=True)
+    runs = ["measured", "replayed", *(["against"] if found["against"] else []), "changed"]
+    table = Table(title=f"{folder}: service, replayed in virtual time")
+    for name in ("", *runs):
+        table.add_column(name, justify="left" if not name else "right")
+    whole = {"measured": found["measured"], **found["service"]}
+    table.add_row("all", *(f"{whole[name]:.3f}" for name in runs))
+    for name, row in found["by_class"].items():
+        table.add_row(name, *(f"{row[run]:.3f}" for run in runs))
+    for cause in sorted({cause for row in found["lost_by_cause"].values() for cause in row}):
+        lost = (found["lost_by_cause"][run].get(cause, 0.0) for run in runs)
+        table.add_row(f"credit {cause}", *(f"{part:.3f}" for part in lost))
+    broken = found["rules_broken"]
+    table.add_row("rules broken", *(str(broken.get(run, "")) for run in runs))
+    console.print(table)
+    for each in found["breaks"]:
+        console.print(f"would break: {each}")
+    fate = found["changed_fate"]
+    if found["tells"]:
+        console.print(f"gain {found['gain']:+.4f}, noise over {found['seeds']} seeds {found['noise']:.4f}; "
+                      f"{fate['won']} exchanges won, {fate['lost']} lost")  # fmt: skip
+    else:
+        console.print(
+            f"can't tell: the day's own replay misses by {found['error']:+.3f}, {found['tolerance']} allowed"
+        )
+
+
+@replay.command()
+@click.argument("folder", type=click.Path(exists=True))
+@click.argument("setting")
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--chart", type=click.Path(), help="A PNG of service against the values.")
+def sweep(folder: str, setting: str, seeds: int, chart: str | None) -> None:
+    """Several values of one setting, e.g. fleet.proxies.ejects=1,2,5, on all cores."""
+    from quillstep.replay.sweep import run
+
+    path, _, values = setting.partition("=")
+    changes = [changes_of((f"{path}={value}",)) for value in values.split(",") if value]
+    try:
+        rows = run(daybook_of(folder), changes, seeds)
+    except Fault as fault:
+        click.echo(f"quillstep: {fault}", err=True)
+        sys.exit(2)
+    table = Table(title=f"{folder}: {path}")
+    for name in ("value", "service", "noise", "rules broken"):
+        table.add_column(name, justify="right")
+    for row in rows:
+        table.add_row(
+            str(row["value"]), f"{row['service']:.4f}", f"{row['noise']:.4f}", str(row["rules_broken"])
+        )
+    Console(stderr=True).print(table)
+    if chart:
+        from quillstep.replay.charts import sweep as draw
+
+        draw(rows, path, Path(chart))
+    click.echo(msgspec.json.encode({"setting": path, "rows": rows}).decode())
+
+
 @cli.group()
 def bench() -> None:
     """Measurements on loopback; the last line of standard output is one JSON object."""
@@ -266,11 +399,18 @@
     """A bench's rows as a table, kept in a file if asked, and as the last line."""
     table = Table(title=f"{found['bench']} (loopback; {found['machine']})")
     rows = found["rows"]
-    table.add_column("figure")
-    for _ in rows:
-        table.add_column(justify="right")
-    for name in dict.fromkeys(name for row in rows for name in row):
-        table.add_row(name, *(str(row.get(name, "")) for row in rows))
+    names = [name for name in dict.fromkeys(name for row in rows for name in row) if name != "breaks"]
+    if len(rows) > 4:  # many rows: a line each
+        for name in names:
+            table.add_column(name.replace("_", " "), justify="right")
+        for row in rows:
+            table.add_row(*(str(row.get(name, "")) for name in names))
+    else:
+        table.add_column("figure")
+        for _ in rows:
+            table.add_column(justify="right")
+        for name in names:
+            table.add_row(name, *(str(row.get(name, "")) for row in rows))
     Console(stderr=True).print(table)
     if out:
         Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(found)) + b"\n")
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -121,6 +121,26 @@
             self.proxies.update({row["name"]: host for row in rows})
         for host in set(self.proxies.values()):
             host.wait_for("ready")
+        self.describe()
+
+    def describe(self) -> None:
+        """Write down what operators know of their fleet: no speeds, no troubles."""
+        known = ("id", "zone", "cores", "listed")
+        endpoints = [
+            {**{name: row[name] for name in known}, "host": "127.0.0.1", "port": self.ports[row["id"]]}
+            for row in self.made.endpoints
+        ]
+        proxies = [
+            {
+                "name": row["name"],
+                "zone": row["zone"],
+                "usual": row["usual"],
+                "standing": [["127.0.0.1", self.ports[number]] for number in row["standing"]],
+            }
+            for row in self.made.proxies
+        ]
+        told = msgspec.json.encode({"endpoints": endpoints, "proxies": proxies})
+        (self.folder / "fleet.json").write_bytes(told)
 
     # playing
 
--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -341,7 +341,7 @@
         changed = sum(len(packed.data) for packed in files if before.get(packed.name) != packed.digest)
         self.last[directory] = {packed.name: packed.digest for packed in files}
         ordered = self.ordered_ms(generation.order)
-        told = manifest(self.epoch, generation.number, generation.order, ordered, files, generation.contents)
+        told = manifest(self.epoch, generation.number, generation.order, ordered, files)
         keep = lane.held_numbers()
         self.jobs.put(Job(directory, lane, generation, files, told, keep, changed + len(told)))
 
--- a/quillstep/files/pack.py
+++ b/quillstep/files/pack.py
@@ -33,14 +33,13 @@
 
 
 class Manifest(msgspec.Struct):
-    """What a generation is made of: files by name with their hashes; versions by type and resource name."""
+    """What a generation is made of: files by name with their hashes.  Versions stand in the files."""
 
     origin: str  # the pilot's life that wrote it
     generation: int
     order: int
     ordered_ms: float
     files: dict[str, str]
-    versions: dict[str, dict[str, str]]
 
 
 class Packer:
@@ -101,14 +100,9 @@
         raise ValueError(f"{name}: {trouble}") from None
 
 
-def manifest(
-    origin: str, number: int, order: int, ordered_ms: float, files: list[Packed], contents: dict[Key, Content]
-) -> bytes:
-    versions: dict[str, dict[str, str]] = {}
-    for key, content in contents.items():
-        versions.setdefault(resources.type_url(key), {})[resources.name(key)] = content.version
+def manifest(origin: str, number: int, order: int, ordered_ms: float, files: list[Packed]) -> bytes:
     digests = {packed.name: packed.digest for packed in files}
-    return msgspec.json.encode(Manifest(origin, number, order, ordered_ms, digests, versions))
+    return msgspec.json.encode(Manifest(origin, number, order, ordered_ms, digests))
 
 
 def contents_of(files: dict[str, bytes]) -> dict[Key, Content]:
--- /dev/null
+++ b/quillstep/replay/charts.py
@@ -0,0 +1,49 @@
+"""Charts of a comparison, as PNG files."""
+
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402 (the backend must be chosen first)
+
+WORST_S = 5
+
+
+def service_over_time(found: dict[str, Any], path: Path) -> None:
+    """Service second by second: measured, replayed, changed; the worst five seconds of the changed day marked."""
+    figure, axes = pyplot.subplots(figsize=(9.0, 4.0))
+    for name, style in (("measured", "k-"), ("replayed", "b--"), ("changed", "r-")):
+        if name != "changed" or found["change"]:
+            axes.plot(found["windows"][name], style, label=name, linewidth=1.2)
+    rows = found["windows"]["changed" if found["change"] else "replayed"]
+    if len(rows) >= WORST_S:
+        spans = [(sum(rows[at : at + WORST_S]), at) for at in range(len(rows) - WORST_S + 1)]
+        worst = min(spans)[1]
+        axes.axvspan(worst, worst + WORST_S - 1, color="orange", alpha=0.2, label="worst 5 s")
+    axes.set_xlabel("s")
+    axes.set_ylabel("service")
+    axes.set_ylim(0.0, 1.02)
+    changed = ", ".join(f"{path}={value}" for path, value in found["change"].items()) or "no change"
+    axes.set_title(
+        f"{changed}: {found['service']['replayed']:.3f} to {found['service']['changed']:.3f} (replayed)"
+    )
+    axes.legend(loc="lower left")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
+
+
+def sweep(rows: list[dict[str, Any]], setting: str, path: Path) -> None:
+    """Service against the values of one setting, with the noise over seeds."""
+    figure, axes = pyplot.subplots(figsize=(7.0, 4.0))
+    values = [str(row["value"]) for row in rows]
+    axes.errorbar(
+        values, [row["service"] for row in rows], yerr=[row["noise"] for row in rows], marker="o", capsize=4
+    )
+    axes.set_xlabel(setting)
+    axes.set_ylabel("service (replayed)")
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- /dev/null
+++ b/quillstep/replay/daybook.py
@@ -0,0 +1,129 @@
+"""What is known of a captured day: pilots' lives, exchanges as they came, tries as they went, the fleet's description.
+
+The folder is one arm of `quillstep day` with captures; the fleet's description (`fleet.json`) holds what operators know
+of their machines (zone, cores, address) and of their proxies (zone, standing table), not how fast anything really is.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from envoy.service.load_stats.v3 import lrs_pb2
+
+from quillstep.capture import Life, lives, read_life
+from quillstep.settings import PilotRecord
+from quillstep.xds.server import LOAD
+
+CLOCKS_MS = 50.0  # up to which clocks count as one
+
+
+@dataclass(slots=True)
+class PilotLife:
+    """One life of one pilot as the replay needs it; times are milliseconds of the machine's monotonic clock."""
+
+    epoch: str
+    record: PilotRecord
+    first_ms: float
+    last_ms: float
+    roster: list[tuple[float, str, list[tuple], dict[int, tuple[str, int]]]] = field(default_factory=list)
+    streams: list[tuple[float, str, str, dict[str, Any]]] = field(
+        default_factory=list
+    )  # at, join or leave, proxy
+    reports: list[tuple[float, str]] = field(
+        default_factory=list
+    )  # when a load report of which proxy was taken in
+    delays: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )  # from send to word, by proxy
+
+
+@dataclass(slots=True)
+class Daybook:
+    """A captured day."""
+
+    lives: list[PilotLife]
+    endpoints: dict[int, dict[str, Any]]
+    proxies: dict[str, dict[str, Any]]
+    exchanges: list[dict[str, Any]]
+
+    @property
+    def begin_ms(self) -> float:
+        return self.exchanges[0]["at"]
+
+    @property
+    def end_ms(self) -> float:
+        return max(row["end"] for row in self.exchanges)
+
+
+def read_daybook(folder: Path) -> Daybook:
+    """Raises FileNotFoundError where the folder is no captured day, BadBlock where a capture is damaged."""
+    fleet = msgspec.json.decode((folder / "fleet.json").read_bytes())
+    held = [life for path in sorted(folder.glob("capture-*")) for life in lives(path)]
+    if not held:
+        raise FileNotFoundError(f"{folder} holds no capture")
+    offsets = [life.header.wall_offset_ms for life in held]
+    found = [pilot_life(life, apart(life.header.wall_offset_ms, offsets[0])) for life in held]
+    exchanges = []
+    for path in sorted(folder.glob("proxies-*.jsonl")):
+        for line in path.read_bytes().splitlines():
+            row = msgspec.json.decode(line)
+            if row["what"] == "exchange":
+                exchanges.append(row)
+    exchanges.sort(key=lambda row: (row["at"], row["exchange"]))
+    if not exchanges:
+        raise FileNotFoundError(f"{folder} holds no exchanges")
+    return Daybook(
+        sorted(found, key=lambda life: life.first_ms),
+        {row["id"]: row for row in fleet["endpoints"]},
+        {row["name"]: row for row in fleet["proxies"]},
+        exchanges,
+    )
+
+
+def apart(offset_ms: float, first_ms: float) -> float:
+    """What to add to a life's times for those of the first: machines' clocks begin at different moments."""
+    difference = offset_ms - first_ms
+    return difference if abs(difference) > CLOCKS_MS else 0.0
+
+
+def pilot_life(life: Life, shift_ms: float = 0.0) -> PilotLife:
+    """Roster news, streams, report times and message delays of one life, late as they were."""
+    record = PilotRecord.model_validate(life.header.settings)
+    found = PilotLife(life.header.epoch, record, life.first_ms + shift_ms, life.last_ms + shift_ms)
+    sent: dict[tuple[str, str], float] = {}
+    nodes: dict[tuple[int, int], str] = {}
+    for row in read_life(life):
+        kind, taken = row[0], row[2] + shift_ms
+        if kind == "roster":
+            addresses = {number: (host, port) for number, host, port in row[5]}
+            entries = [(*entry[:4], entry[4] + shift_ms if entry[4] else 0.0) for entry in row[4]]
+            found.roster.append((taken, row[3], entries, addresses))
+        elif kind == "sent":
+            what, fields = row[3], row[4]
+            if what in ("join", "leave"):
+                found.streams.append((taken, what, fields["proxy"], fields))
+            elif what == "send":
+                sent[fields["proxy"], fields["nonce"]] = taken
+            elif what in ("ack", "nack") and (fields["proxy"], fields["nonce"]) in sent:
+                found.delays[fields["proxy"]].append(taken - sent.pop((fields["proxy"], fields["nonce"])))
+        elif kind == "files" and row[3] == "load":
+            found.reports.append((taken, row[4]))
+        elif kind == "open":
+            if row[5] == LOAD:
+                nodes[row[3], row[4]] = ""
+        elif kind == "request" and (row[3], row[4]) in nodes:
+            take_report_time(found, row, taken, nodes)
+    return found
+
+
+def take_report_time(
+    found: PilotLife, row: list[Any], taken: float, nodes: dict[tuple[int, int], str]
+) -> None:
+    """Remember when load reports came: a report stream's first request names its node, later ones are reports."""
+    at = (row[3], row[4])
+    if nodes[at]:
+        found.reports.append((taken, nodes[at]))
+    else:
+        nodes[at] = lrs_pb2.LoadStatsRequest.FromString(row[6]).node.id
--- /dev/null
+++ b/quillstep/replay/whatif.py
@@ -0,0 +1,332 @@
+"""The what-if replay: captured exchanges, roster news, streams and delays, another setting, compared service.
+
+The pilots are the real decider on virtual time; proxies and endpoints are `model.py`'s.  The delay of a proxy's k-th
+message is that of its k-th captured one; once those are used up, one is drawn from them (seeded).
+"""
+
+import random
+from collections import defaultdict
+from typing import Any
+
+import msgspec
+import xxhash
+
+from quillstep.day.service import service
+from quillstep.pilot.core import Core
+from quillstep.pilot.decide import Decider
+from quillstep.replay.daybook import Daybook, PilotLife
+from quillstep.replay.infer import Inferred, held_out_error, infer, tries_of
+from quillstep.replay.model import Endpoint, Proxy, VirtualDay
+from quillstep.rulecheck import Evidence, judge
+from quillstep.settings import PilotRecord, changed
+from quillstep.tables.content import ENTRY
+
+ACK_PART = 0.5  # of a captured delay, the way there; the rest is the word's way back
+TOLERANCE = 0.03  # of service, between the day and its own replay, up to which a comparison tells something
+USUAL_DELAY_MS = 5.0
+
+
+class ModelFront:
+    """Carries changes to modelled proxies, late as captured."""
+
+    def __init__(self, day: VirtualDay, pilot: "Pilot") -> None:
+        self.day, self.pilot = day, pilot
+        self.nonces = 0
+
+    def pump(self, now_ms: float, stirred: set[int]) -> None:
+        core = self.pilot.core
+        for number in sorted(stirred):
+            proxy = self.pilot.joined.get(number)
+            ledger = core.tables.ledgers.get(number)
+            if proxy is None or ledger is None or len(ledger.flights) >= 8:
+                continue
+            changes = core.tables.take(number, now_ms, lambda key: True)
+            if changes:
+                self.nonces += 1
+                nonce = str(self.nonces)
+                ledger.send(nonce, changes, now_ms)
+                self.pilot.sent(proxy, ledger.released, len(changes), now_ms)
+                delay = self.pilot.delay(proxy.name)
+                self.day.clock.at(
+                    now_ms + ACK_PART * delay, self.arrive, number, ledger, proxy, nonce, changes
+                )
+                self.day.clock.at(now_ms + delay, self.word, number, ledger, nonce)
+
+    def arrive(self, number: int, ledger: Any, proxy: Proxy, nonce: str, changes: list) -> None:
+        if self.pilot.core.tables.ledgers.get(number) is ledger:
+            proxy.apply(changes)
+
+    def word(self, number: int, ledger: Any, nonce: str) -> None:
+        tables = self.pilot.core.tables
+        if tables.ledgers.get(number) is ledger:
+            tables.acknowledge(number, nonce)
+            self.pilot.poke()
+
+    def drop(self, proxy: int, reason: str, now_ms: float) -> None:
+        """There is no other front here."""
+
+    def next_ms(self) -> float:
+        return float("inf")
+
+
+class Pilot:
+    """One life of a pilot, its decider on the day's clock."""
+
+    def __init__(self, day: VirtualDay, life: PilotLife, record: PilotRecord, seed: int) -> None:
+        self.day, self.life = day, life
+        plain = {**record.model_dump(), "files": {}, "capture": {}, "record": ""}
+        self.decider = Decider(
+            PilotRecord.model_validate(plain), life.epoch, lambda *a, **k: None, lambda news: None
+        )
+        self.core: Core = self.decider.core
+        self.decider.fronts = [ModelFront(day, self)]
+        self.joined: dict[int, Proxy] = {}
+        self.delays = {name: iter(list(delays)) for name, delays in life.delays.items()}
+        self.draw = random.Random(f"{seed} {life.epoch}").choice
+        self.taps: list[dict[str, Any]] = []
+        self.due = float("inf")
+        self.ended = False
+        self.plan()
+
+    def plan(self) -> None:
+        clock, life = self.day.clock, self.life
+        for at, kind, entries, addresses in life.roster:
+            clock.at(at, self.roster, kind, entries, addresses)
+        for at, what, proxy, fields in life.streams:
+            clock.at(at, self.join if what == "join" else self.leave, proxy, fields)
+        for at, proxy in life.reports:
+            clock.at(at, self.report, proxy)
+        clock.at(life.last_ms, self.end)
+
+    def delay(self, name: str) -> float:
+        """The next captured delay of this proxy, or one drawn from them."""
+        held = next(self.delays.get(name, iter(())), None)
+        if held is None:
+            known = self.life.delays.get(name)
+            held = self.draw(known) if known else USUAL_DELAY_MS
+        return held
+
+    def sent(self, proxy: Proxy, order: int, lines: int, now: float) -> None:
+        self.taps.append({"what": "send", "at": now, "proxy": proxy.name, "order": order, "lines": lines, "bytes": 0,
+                          "ordered": self.core.ordered_ms(order), "nonce": f"{self.life.epoch}.{order}"})  # fmt: skip
+
+    # news
+
+    def roster(self, kind: str, entries: list[tuple], addresses: dict) -> None:
+        self.core.now_ms = self.day.clock.now
+        self.core.roster(kind, entries, addresses)
+        self.core.heard(self.day.clock.now)
+        for entry in entries:
+            if endpoint := self.day.endpoints.get(entry[0]):
+                endpoint.draining = entry[2] == "terminating"
+                endpoint.started_ms = max(endpoint.started_ms, entry[4])
+        self.poke()
+
+    def join(self, name: str, fields: dict[str, Any]) -> None:
+        proxy = self.day.proxies.get(name)
+        if proxy is None:
+            return
+        self.core.now_ms = self.day.clock.now
+        number = self.core.join(
+            name, proxy.zone, proxy.usual, proxy.versions, fields["fresh"], self.decider.fronts[0]
+        )
+        self.joined[number] = proxy
+        self.core.tables.ask(number, [(ENTRY,)], False)
+        self.poke()
+
+    def leave(self, name: str, fields: dict[str, Any]) -> None:
+        number = self.core.proxy_of(name)
+        if number is not None:
+            self.core.now_ms = self.day.clock.now
+            self.joined.pop(number, None)
+            self.core.leave(number)
+            self.poke()
+
+    def report(self, name: str) -> None:
+        if proxy := self.day.proxies.get(name):
+            proxy.report(self.core)
+            self.poke()
+
+    # time
+
+    def poke(self) -> None:
+        self.schedule(self.day.clock.now)
+
+    def schedule(self, at: float) -> None:
+        if at < self.due and not self.ended:
+            self.due = at
+            self.day.clock.at(at, self.turn, at)
+
+    def turn(self, at: float) -> None:
+        if self.ended or at != self.due:
+            return  # an earlier turn has taken this one's place
+        self.due = float("inf")
+        now = self.day.clock.now
+        self.decider.turn(now)
+        for endpoint, _, _ in self.core.probes:
+            if known := self.day.endpoints.get(endpoint):
+                answered, took, load = known.probed(now, self.core.record.fleet.probes.timeout_ms)
+                self.day.clock.at(now + took, self.probed, endpoint, answered, took, load)
+        self.core.probes = []
+        self.schedule(max(now + 0.05, self.decider.next_ms()))
+
+    def probed(self, endpoint: int, answered: bool, took: float, load: dict[str, float]) -> None:
+        if not self.ended:
+            self.core.now_ms = self.day.clock.now
+            self.core.probed(endpoint, answered, took, load)
+            self.poke()
+
+    def end(self) -> None:
+        self.ended = True
+
+
+def play(book: Daybook, inferred: Inferred, change: dict[str, Any], seed: int) -> dict[str, Any]:
+    """A day with some settings changed (path to value); service, rules, exchanges."""
+    records = [changed(life.record, change) for life in book.lives]
+    day = VirtualDay(records[0].fleet, min(life.first_ms for life in book.lives), seed)
+    for number, row in book.endpoints.items():
+        draw = random.Random(f"{seed} endpoint {number}").random
+        made = Endpoint(number, row, day.fleet, inferred, draw)
+        day.endpoints[number] = day.by_address[made.address] = made
+    for name, row in book.proxies.items():
+        day.proxies[name] = Proxy(name, row, day, random.Random(f"{seed} {name}").random)
+    pilots = [Pilot(day, life, record, seed) for life, record in zip(book.lives, records, strict=True)]
+    for row in book.exchanges:
+        if row["proxy"] in day.proxies:
+            day.clock.at(row["at"], day.proxies[row["proxy"]].arrive, row)
+    day.clock.run(book.end_ms + 100.0)
+    evidence = evidence_of(book, day, pilots)
+    return {
+        "service": service(day.fleet, day.exchanges),
+        "breaks": judge(evidence),
+        "exchanges": day.exchanges,
+        "digest": xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(day.exchanges)),
+        "rounds": sum(pilot.core.rounds for pilot in pilots),
+    }
+
+
+def evidence_of(book: Daybook, day: VirtualDay, pilots: list[Pilot]) -> Evidence:
+    """What the rule checker reads, from the modelled day."""
+    made = Evidence(
+        day.fleet,
+        addresses={address: endpoint.number for address, endpoint in day.by_address.items()},
+        zones={number: row["zone"] for number, row in book.endpoints.items()},
+        sizes={n: e.speed * len(e.free) for n, e in day.endpoints.items()},
+        homes={name: proxy.zone for name, proxy in day.proxies.items()},
+    )
+    made.exchanges = day.exchanges
+    for number, at, kind, proxy, exchange in day.served:
+        made.served.append({"what": "exchange", "at": at, "endpoint": number, "exchange": exchange, "class": kind.name,
+                            "proxy": proxy, "work": kind.work_ms, "effect": kind.semantics == "unsafe",
+                            "outcome": "run"})  # fmt: skip
+    starts: dict[tuple[int, float], None] = {}
+    for pilot in pilots:
+        life = pilot.life
+        name = life.record.name
+        made.sent += pilot.taps
+        for at, _, entries, _ in life.roster:
+            for endpoint, zone, state, _, started in entries:
+                made.told.append(
+                    {"at": at, "pilot": name, "endpoint": endpoint, "state": state, "started": started}
+                )
+                if started:
+                    starts[endpoint, started] = None
+                made.zones.setdefault(endpoint, zone)
+        for at, what, proxy, _ in life.streams:
+            made.streams.append({"at": at, "proxy": proxy, "up": what == "join", "pilot": name})
+        for proxy in {row[2] for row in life.streams}:
+            made.streams.append({"at": life.last_ms, "proxy": proxy, "up": False, "pilot": name})
+    made.starts = [{"at": at, "endpoint": endpoint, "cold": True} for endpoint, at in starts]
+    return made.sort()
+
+
+def learn(book: Daybook) -> tuple[Inferred, dict[str, float]]:
+    """What the tries of a day say of its endpoints, and how well half of them tell the other half."""
+    classes = {row.name: row for row in book.lives[0].record.fleet.classes}
+    addresses = {f"{row['host']}:{row['port']}": number for number, row in book.endpoints.items()}
+    tries = tries_of(book.exchanges, classes, addresses)
+    return infer(tries), held_out_error(tries)
+
+
+def compare(book: Daybook, against: dict[str, Any], change: dict[str, Any], seeds: int) -> dict[str, Any]:
+    """The day as it was, replayed as it was, with one change (`against`; empty: none) and another; seeds paired."""
+    fleet = book.lives[0].record.fleet
+    inferred, held_out = learn(book)
+    measured = service(fleet, book.exchanges)
+    plain = [play(book, inferred, {}, seed) for seed in range(seeds)]
+    base = [play(book, inferred, against, seed) for seed in range(seeds)] if against else plain
+    other = [play(book, inferred, change, seed) for seed in range(seeds)] if change else base
+    gains = [b["service"]["service"] - a["service"]["service"] for a, b in zip(base, other, strict=True)]
+    replayed = mean(row["service"]["service"] for row in plain)
+    error = replayed - measured["service"]
+    gain = mean(gains)
+    noise = (sum((each - gain) ** 2 for each in gains) / max(1, len(gains) - 1)) ** 0.5
+    runs = {"replayed": plain, "against": base, "changed": other}
+    return {
+        "measured": measured["service"], "replayed": round(replayed, 4), "error": round(error, 4),
+        "tells": abs(error) <= TOLERANCE, "tolerance": TOLERANCE, "held_out": held_out,
+        "against": against, "change": change, "gain": round(gain, 4), "noise": round(noise, 4), "seeds": seeds,
+        "service": {name: round(mean(r["service"]["service"] for r in rows), 4) for name, rows in runs.items()},
+        "by_class": {
+            name: {"measured": part, **{run: round(mean(r["service"]["by_class"][name] for r in rows), 4)
+                                        for run, rows in runs.items()}}
+            for name, part in measured["by_class"].items()
+        },
+        "windows": {"measured": windows(fleet, book.exchanges),
+                    **{run: windows(fleet, rows[0]["exchanges"]) for run, rows in runs.items()}},
+        "lost_by_cause": {"measured": causes(fleet, book.exchanges),
+                          **{run: causes(fleet, rows[0]["exchanges"]) for run, rows in runs.items()}},
+        "changed_fate": fates(fleet, base[0]["exchanges"], other[0]["exchanges"]),
+        "rules_broken": {run: max(len(row["breaks"]) for row in rows) for run, rows in runs.items()},
+        "breaks": [found._asdict() for found in other[0]["breaks"][:5]],
+        "digests": {run: [row["digest"] for row in rows] for run, rows in runs.items()},
+    }  # fmt: skip
+
+
+def windows(fleet: Any, exchanges: list[dict[str, Any]], span_ms: float = 1000.0) -> list[float]:
+    """Service second by second, from the first exchange on."""
+    credits = {row.name: row.credit for row in fleet.classes}
+    begin = min((row["at"] for row in exchanges), default=0.0)
+    asked: dict[int, float] = defaultdict(float)
+    won: dict[int, float] = defaultdict(float)
+    for row in exchanges:
+        at = int((row["at"] - begin) // span_ms)
+        asked[at] += credits[row["class"]]
+        won[at] += credits[row["class"]] * earned(fleet, row)[0]
+    return [round(won[at] / asked[at], 4) if asked[at] else 1.0 for at in range(max(asked, default=-1) + 1)]
+
+
+def mean(values: Any) -> float:
+    held = list(values)
+    return sum(held) / len(held)
+
+
+def earned(fleet: Any, row: dict[str, Any]) -> tuple[float, str]:
+    """The part of its credit that an exchange earned, and why not all."""
+    kind = {each.name: each for each in fleet.classes}[row["class"]]
+    took = row["end"] - row["at"]
+    if row["outcome"] == "ok" and took <= kind.agreed_ms:
+        return 1.0, ""
+    if row["outcome"] == "ok":
+        return (kind.late_credit if took <= kind.cut_off_ms else 0.0), "late"
+    if row["outcome"] in ("refused", "bare"):
+        return 0.0, row["outcome"]
+    return 0.0, "tried twice" if len(row["tries"]) > 1 else "lost"
+
+
+def causes(fleet: Any, exchanges: list[dict[str, Any]]) -> dict[str, float]:
+    """The part of all credit lost to each cause."""
+    credits = {row.name: row.credit for row in fleet.classes}
+    total = sum(credits[row["class"]] for row in exchanges) or 1.0
+    lost: dict[str, float] = defaultdict(float)
+    for row in exchanges:
+        part, why = earned(fleet, row)
+        if why:
+            lost[why] += (1.0 - part) * credits[row["class"]] / total
+    return {why: round(part, 4) for why, part in sorted(lost.items())}
+
+
+def fates(fleet: Any, one: list[dict[str, Any]], two: list[dict[str, Any]]) -> dict[str, int]:
+    """How many exchanges are answered in time in one and not in the other."""
+    good = [{row["exchange"] for row in rows if earned(fleet, row)[0] == 1.0} for rows in (one, two)]
+    return {"won": len(good[1] - good[0]), "lost": len(good[0] - good[1])}
--- a/quillstep/settings/__init__.py
+++ b/quillstep/settings/__init__.py
@@ -13,12 +13,14 @@
     ProxyRecord,
     RulesRecord,
     TroubleRecord,
+    changed,
     load,
+    parse_changes,
     start_facts,
 )
 
 __all__ = [
     "ChannelRecord", "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FilesRecord", "FleetRecord",
-    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "RulesRecord", "TroubleRecord", "load", "read",
-    "start_facts",
+    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "RulesRecord", "TroubleRecord", "changed", "load",
+    "parse_changes", "read", "start_facts",
 ]  # fmt: skip
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -4,6 +4,7 @@
 A file that doesn't check raises `quillstep.settings.Fault`.
 """
 
+import json
 from pathlib import Path
 from typing import Annotated, Any, Literal, TypeVar
 
@@ -292,6 +293,35 @@
     raise Fault(origin.file, origin.line(path), path, found, expected)
 
 
+def changed(record: R, change: dict[str, Any]) -> R:
+    """A record with some paths set; raises `Fault` where a path is none or a value does not check."""
+    plain = record.model_dump()
+    for path, value in change.items():
+        at: Any = plain
+        *parents, last = path.split(".")
+        for name in parents:
+            at = at[int(name)] if isinstance(at, list) and name.isdigit() and int(name) < len(at) else at
+            at = at.get(name) if isinstance(at, dict) else at
+        if not isinstance(at, dict) or last not in at:
+            raise Fault("--set", 1, path, "no such setting", "a path of the record")
+        at[last] = value
+    return check(type(record), plain, Origin("--set", {}))
+
+
+def parse_changes(texts: tuple[str, ...] | list[str]) -> dict[str, Any]:
+    """`path=value` texts, values as JSON where they read as such."""
+    change: dict[str, Any] = {}
+    for each in texts:
+        path, equals, value = each.partition("=")
+        if not equals:
+            raise Fault("--set", 1, path, "no value", "path=value")
+        try:
+            change[path] = json.loads(value)
+        except ValueError:
+            change[path] = value
+    return change
+
+
 def start_facts(fleet: FleetRecord) -> StartFacts:
     """What the module is told at its start."""
     rules, channel, proxies = fleet.rules, fleet.channel, fleet.proxies
--- a/quillstep/standins/follow_files.py
+++ b/quillstep/standins/follow_files.py
@@ -120,10 +120,17 @@
         except ValueError as trouble:
             self.record(what="torn", reason=str(trouble))
             return
+        try:
+            resources = read_resources(files)
+            broken = ""
+        except ValueError as found:
+            resources, broken = [], str(found)
+        new: dict[str, dict[str, str]] = {}
+        for url, name, version, _ in resources:
+            new.setdefault(url, {})[name] = version
         versions = self.held.versions
-        changed = [(n, v) for url, new in told.versions.items() for n, v in new.items()
-                   if versions.get(url, {}).get(n) != v]  # fmt: skip
-        removed = [n for url, old in versions.items() for n in old if n not in told.versions.get(url, {})]
+        changed = [(n, v) for url in new for n, v in new[url].items() if versions.get(url, {}).get(n) != v]
+        removed = [n for url, old in versions.items() for n in old if n not in new.get(url, {})]
         note = {"type": "files", "nonce": f"{told.origin}.g{told.generation}", "changed": changed,
                 "removed": removed, "bytes": sum(len(data) for data in files.values()),
                 "system": f"{told.origin}/{told.order}/{told.ordered_ms:.1f}"}  # fmt: skip
@@ -131,10 +138,10 @@
             time.sleep(LINE_MS * (len(changed) + len(removed)) / 1000.0)
         answer: dict[str, Any] = {"generation": told.generation}
         try:
-            if self.refuses_ms > now_ms():
-                raise ValueError("told to refuse")
+            if broken or self.refuses_ms > now_ms():
+                raise ValueError(broken or "told to refuse")
             with self.proxy.lock:
-                self.apply(files, told)
+                self.apply(resources, new)
         except ValueError as trouble:
             answer["refused"] = str(trouble)
             self.record(what="refused", reason=str(trouble), **note)
@@ -145,32 +152,19 @@
         self.done = told.generation
         self.put(here / "ack.json", msgspec.json.encode(answer))
 
-    def apply(self, files: dict[str, bytes], told: Manifest) -> None:
+    def apply(self, resources: list[tuple[str, str, str, Any]], versions: dict[str, dict[str, str]]) -> None:
         """All of a generation in place of all that was held."""
-        tables: dict[str, dict] = {}
-        lines: list[tuple[str, str, Any]] = []
+        tables: dict[str, dict] = {name: {} for url, name, _, _ in resources if url == CDS}
         outs, drops, routes, routes_version = {}, {}, {}, ""
-        for file, data in files.items():
-            response = decode(file, data)
-            url = response.type_url
-            for packed in response.resources:
-                wrapped = discovery_pb2.Resource()
-                message = MESSAGES[url]()
-                if not packed.Unpack(wrapped) or not wrapped.resource.Unpack(message):
-                    raise ValueError(f"{file} holds what is no {url}")
-                if url == CDS:
-                    tables[wrapped.name] = {}
-                elif url == EDS:
-                    drops[wrapped.name] = drops_of(message)
-                elif url == RDS:
-                    routes, routes_version = routes_of(message), wrapped.version
-                elif url == LEDS:
-                    lines.append((wrapped.name, wrapped.version, message))
-        for name, version, message in lines:
+        for url, name, version, message in resources:
             group, _, _ = name.removeprefix(COLLECTION).partition("/")
-            if message.health_status in GONE and group == "withdrawn":
+            if url == EDS:
+                drops[name] = drops_of(message)
+            elif url == RDS:
+                routes, routes_version = routes_of(message), version
+            elif url == LEDS and group == "withdrawn" and message.health_status in GONE:
                 outs[name] = line_of(message, version)[0]
-            elif group in tables:
+            elif url == LEDS and group in tables:
                 tables[group][name] = line_of(message, version)
         missing = {route.table for route in routes.values() if not route.closed} - set(tables)
         if missing:
@@ -178,7 +172,7 @@
         held = self.held
         held.tables, held.outs, held.out, held.drops = tables, outs, set(outs.values()), drops
         held.routes, held.routes_version = routes, routes_version
-        held.versions = {url: dict(versions) for url, versions in told.versions.items()}
+        held.versions = versions
 
     def report(self) -> None:
         here = self.here
@@ -189,6 +183,20 @@
             self.put(here / "load" / f"{self.reports:09d}.pb", load_report(self.proxy).SerializeToString())
 
 
+def read_resources(files: dict[str, bytes]) -> list[tuple[str, str, str, Any]]:
+    """Type, name, version and message of all resources of a generation; raises ValueError."""
+    found = []
+    for file, data in files.items():
+        response = decode(file, data)
+        for packed in response.resources:
+            wrapped = discovery_pb2.Resource()
+            message = MESSAGES[response.type_url]()
+            if not packed.Unpack(wrapped) or not wrapped.resource.Unpack(message):
+                raise ValueError(f"{file} holds what is no {response.type_url}")
+            found.append((response.type_url, wrapped.name, wrapped.version, message))
+    return found
+
+
 def read_generation(here: Path, between: Any = None) -> tuple[Manifest, dict[str, bytes]]:
     """The current generation whole, from one directory descriptor.
 
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -36,11 +36,7 @@
     packer = Packer(pilot.encoder, form, 4)
     made = contents(weight)
     files = packer.files(made)
-    return files, manifest("e", number, number, 0.0, files, made)
-
-
-def versions(told):
-    return {name: version for found in told.versions.values() for name, version in found.items()}
+    return files, manifest("e", number, number, 0.0, files)
 
 
 WRITER = """
@@ -493,5 +489,5 @@
     again.until(lambda: current(here) > number)
     sent = [fields for what, fields in again.taps if what == "send"]
     assert not sent or sent[0]["lines"] <= 2
-    assert versions(read_generation(here)[0])
+    assert contents_of(read_generation(here)[1])[LINE, 0, 3]
     again.front.stop()
