--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -196,6 +196,21 @@
         )
 
 
+@capture.command("keep")
+@click.argument("folder", type=click.Path(exists=True))
+@click.argument("out", type=click.Path())
+def capture_keep(folder: str, out: str) -> None:
+    """What replays need of a played arm, and no more: captures, the fleet, the exchanges."""
+    from quillstep.capture import BadBlock
+    from quillstep.replay.daybook import keep
+
+    try:
+        click.echo(f"{out}: {keep(Path(folder), Path(out))} exchanges")
+    except (OSError, BadBlock) as trouble:
+        click.echo(f"quillstep: {trouble}", err=True)
+        sys.exit(2)
+
+
 @cli.group()
 def replay() -> None:
     """Captured days played again."""
--- a/quillstep/replay/daybook.py
+++ b/quillstep/replay/daybook.py
@@ -4,6 +4,7 @@
 of their machines (zone, cores, address) and of their proxies (zone, standing table), not how fast anything really is.
 """
 
+import shutil
 from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -82,6 +83,20 @@
     )
 
 
+def keep(folder: Path, out: Path) -> int:
+    """What replays need of a played arm, and no more: captures, the fleet, the exchanges; returns their number."""
+    out.mkdir(parents=True, exist_ok=True)
+    for path in sorted(folder.glob("capture-*")):
+        shutil.copytree(
+            path, out / path.name, dirs_exist_ok=True, ignore=shutil.ignore_patterns("index.lmdb")
+        )
+    shutil.copy(folder / "fleet.json", out / "fleet.json")
+    book = read_daybook(folder)
+    rows = [msgspec.json.encode(row) for row in book.exchanges]
+    (out / "proxies-0.jsonl").write_bytes(b"\n".join(rows) + b"\n")
+    return len(rows)
+
+
 def apart(offset_ms: float, first_ms: float) -> float:
     """What to add to a life's times for those of the first: machines' clocks begin at different moments."""
     difference = offset_ms - first_ms
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -205,6 +206,17 @@
     assert len(digests) == 1
 
 
+@pytest.mark.parametrize("kept", sorted(Path("examples/captures").iterdir()), ids=lambda kept: kept.name)
+def test_the_days_that_are_shipped_play_again_bit_for_bit(kept):
+    """A change of the program that changes a decision shows here; one that means to captures the days anew."""
+    found = [life for folder in sorted(kept.glob("capture-*")) for life in lives(folder)]
+    assert found
+    for life in found:
+        outcome = Replay(life.header).play(read_life(life))
+        assert outcome.identical, outcome.difference
+        assert outcome.rounds >= 5
+
+
 def test_blocks_of_noise_are_no_blocks():
     with pytest.raises(BadBlock):
         list(blocks(b"x" * 100, 0))
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -102,6 +102,20 @@
     assert OUT_3 in proxy.held(LEDS)
 
 
+def test_a_withdrawal_without_its_acknowledgement_is_overdue_and_counts_as_not_done():
+    pilot = settled(proxies=2)
+    tables = pilot.core.tables
+    order(pilot, lambda tables: [tables.withdraw(3, True, "draining"), tables.receipt(9)])
+    one, two = pilot.proxies.values()
+    for proxy in (one, two):
+        proxy.pump()
+    one.read()
+    late = {number: ledger.overdue(pilot.now + 1500.0, 1000.0) for number, ledger in tables.ledgers.items()}
+    assert late[one.number] == [] and [endpoint for _, endpoint in late[two.number]] == [3]
+    assert tables.ledgers[two.number].overdue(pilot.now + 500.0, 1000.0) == []
+    assert tables.receipts() == [9]  # of the one alone
+
+
 @pytest.mark.parametrize("nonce", ["", "e.0", "e.999", "other.1"])
 def test_an_old_or_invented_nonce_acknowledges_nothing(nonce):
     pilot = settled()
