Model connections and keyed drops in the what-if replay

Need: the issue's first model names connection limits; keyed repeats ran again. Change: idle connections by proxy with their time, cost and limit; repeats dropped in their window; fleet.json tells the limits.

--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -125,7 +125,7 @@
 
     def describe(self) -> None:
         """Write down what operators know of their fleet: no speeds, no troubles."""
-        known = ("id", "zone", "cores", "listed")
+        known = ("id", "zone", "cores", "listed", "connections_most", "connect_work_ms")
         endpoints = [
             {**{name: row[name] for name in known}, "host": "127.0.0.1", "port": self.ports[row["id"]]}
             for row in self.made.endpoints
--- a/quillstep/replay/model.py
+++ b/quillstep/replay/model.py
@@ -1,8 +1,8 @@
 """Proxies and endpoints in virtual time: a first, honest model that meets the real pilot core.
 
 Modelled: picks evenly by weight, avoidance, levels, further tries, queues at cores, cold starts, hidden failures as
-inferred, load in probes, the delays of messages and the moments of reports as captured.  Not modelled: connections,
-processor time of the proxies, keyed drops (repeats of a keyed exchange run again and cost work), stalls of proxies.
+inferred, connections with their limit and cost, keyed repeats dropped in their window, load in probes, the delays
+of messages and the moments of reports as captured.  Not modelled: processor time and stalls of the proxies.
 """
 
 import heapq
@@ -53,6 +53,33 @@
         self.busy: deque[tuple[float, float]] = deque()
         self.started_ms = 0.0
         self.draining = False
+        self.connections_most = row.get("connections_most", 10**9)
+        self.connect_work_ms = row.get("connect_work_ms", 0.0)
+        self.idle: dict[str, list[float]] = {}  # since when, by proxy
+        self.using = 0
+
+    def connect(self, proxy: str, at: float) -> bool:
+        """A connection of this proxy's, an idle one if there is; False where no more are taken."""
+        idle_ms = self.fleet.proxies.idle_ms
+        held = self.idle.get(proxy)
+        while held:
+            if at - held.pop() < idle_ms:
+                self.using += 1
+                return True
+        if self.using + sum(len(rows) for rows in self.idle.values()) >= self.connections_most:
+            for name, rows in self.idle.items():  # those that have idled too long are closed by now
+                self.idle[name] = [since for since in rows if at - since < idle_ms]
+            if self.using + sum(len(rows) for rows in self.idle.values()) >= self.connections_most:
+                return False
+        self.using += 1
+        self.schedule(self.connect_work_ms, at, 1.0)
+        return True
+
+    def give_back(self, proxy: str, at: float, good: bool) -> None:
+        """The try has ended; what broke or timed out is closed."""
+        self.using -= 1
+        if good:
+            self.idle.setdefault(proxy, []).append(at)
 
     def capacity(self, at: float) -> float:
         rules = self.fleet.rules
@@ -78,13 +105,13 @@
             "qps": len(self.busy) * 1000.0 / LOAD_SPAN_MS,
         }
 
-    def tried(self, kind: ClassRecord, at: float, until: float) -> tuple[str, float, bool]:
-        """One try: its result, when it is known, whether it ran."""
+    def tried(self, kind: ClassRecord, at: float, until: float, dropped: bool) -> tuple[str, float, bool]:
+        """One try on a connection: its result, when it is known, whether it ran."""
         state = self.inferred.state(self.number, at)
-        if self.draw() < state.closed:
-            return "no connection", at + NET_MS, False
         if self.draw() < state.fails:
             return "error", at + NET_MS, False
+        if dropped:
+            return "ok", at + NET_MS, False
         lost = self.draw() < state.silent
         if max(at, self.free[0]) > until:
             return "time-out", until, False
@@ -226,9 +253,16 @@
         limit = (
             min(until, now + day.fleet.proxies.try_factor * kind.agreed_ms) if again and mode > 1 else until
         )
-        result, ended, ran = day.by_address[address].tried(kind, now, limit)
+        endpoint = day.by_address[address]
+        if self.draw() < endpoint.inferred.state(endpoint.number, now).closed:
+            result, ended, ran = "no connection", now + NET_MS, False
+        elif not endpoint.connect(self.name, now):
+            result, ended, ran = "reset", now + NET_MS, False
+        else:
+            result, ended, ran = endpoint.tried(kind, now, limit, day.repeated(kind, made["exchange"], now))
+            day.clock.at(ended, endpoint.give_back, self.name, ended, result in ("ok", "error"))
         if ran:
-            day.served.append((day.by_address[address].number, now, kind, self.name, made["exchange"]))
+            day.served.append((endpoint.number, now, kind, self.name, made["exchange"]))
         day.clock.at(
             ended, self.ended, made, place, turn, used | {address}, address, now, result, again, mode
         )
@@ -295,3 +329,14 @@
         self.exchanges: list[dict[str, Any]] = []
         self.served: list[tuple] = []
         self.chance = random.Random(seed)
+        self.seen: dict[tuple[str, str], float] = {}
+
+    def repeated(self, kind: ClassRecord, exchange: str, at: float) -> bool:
+        """Whether endpoints drop this as a repeat; a first one is remembered.  Groups are taken as all of a zone's."""
+        if kind.semantics != "keyed":
+            return False
+        before = self.seen.get((kind.name, exchange))
+        if before is not None and at - before <= kind.window_ms:
+            return True
+        self.seen[kind.name, exchange] = at
+        return False
--- a/tests/test_whatif.py
+++ b/tests/test_whatif.py
@@ -12,6 +12,7 @@
 from quillstep.day.run import Arm, now_ms
 from quillstep.replay.daybook import Daybook, PilotLife, apart, read_daybook
 from quillstep.replay.infer import SPAN_MS, fit, infer
+from quillstep.replay.model import VirtualDay
 from quillstep.replay.whatif import compare, learn, play
 from quillstep.settings import Fault, changed, parse_changes
 
@@ -147,6 +148,23 @@
     assert all(found.text for found in slow["breaks"])
 
 
+def test_a_connection_limit_costs_what_it_turns_away():
+    day = book(rate=400.0, seconds=6.0)
+    free = played(day)["service"]["service"]
+    for row in day.endpoints.values():
+        row["connections_most"] = 1
+    tight = played(day)
+    assert tight["service"]["service"] < free
+    assert any(t[3] == "reset" for row in tight["exchanges"] for t in row["tries"])
+
+
+def test_keyed_repeats_are_dropped_within_their_window_and_run_after_it():
+    keyed = CLASSES[0].model_copy(update={"semantics": "keyed", "scope": "all", "window_ms": 100.0})
+    day = VirtualDay(fleet(), 0.0, 1)
+    assert [day.repeated(keyed, "x", at) for at in (0.0, 99.0, 101.0, 150.0)] == [False, True, False, True]
+    assert not day.repeated(LOOKUP, "x", 0.0) and not day.repeated(LOOKUP, "x", 1.0)
+
+
 @pytest.mark.parametrize("jumble", ["twice", "out of order", "five seconds late"])
 def test_reports_twice_out_of_order_or_late_do_no_harm(jumble):
     day = book(late=5000.0 if jumble == "five seconds late" else 0.0)
