One base for both streams, one way to play an arm

Need: duplicates found the word handling of both streams and the playing of one arm written twice and thrice.

--- a/quillstep/bench/fronts.py
+++ b/quillstep/bench/fronts.py
@@ -11,8 +11,7 @@
 from typing import Any
 
 from quillstep.bench.streams import day_of
-from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.day.service import service
 from quillstep.rulecheck import Evidence, judge, longest_channel
 from quillstep.settings import DayRecord
@@ -68,18 +67,10 @@
     """One arm at one size."""
     base = day_of(proxies, exchanges_per_s, seconds, 1).model_dump()
     day = DayRecord.model_validate({**base, **ARMS[name], "name": f"{name} {proxies}"})
-    arm = Arm(day, plan(day), "learnt", folder / f"{name.replace(' ', '-')}-{proxies}")
-    try:
-        arm.start()
-        begin = now_ms()
-        arm.play(begin + day.warm_up_s * 1000.0)
-        took_s = (now_ms() - begin) / 1000.0
-        cpu_s = arm.pilot_cpu_s()
-    finally:
-        arm.stop()
+    arm = play_arm(day, folder / f"{name.replace(' ', '-')}-{proxies}")
     evidence = arm.evidence()
-    since = begin + day.warm_up_s * 1000.0  # joins apart from the rest
-    sent = [row for row in evidence.sent if row["what"] == "send" and row["at"] >= since]
+    # Joins apart from the rest.
+    sent = [row for row in evidence.sent if row["what"] == "send" and row["at"] >= arm.begin_ms]
     lines = sum(row["lines"] for row in sent)
     carried = sum(row["bytes"] for row in sent)
     drains = drain_times(evidence)
@@ -88,7 +79,7 @@
         "service": service(day.fleet, evidence.exchanges)["service"],
         "writes": len(sent), "lines": lines, "bytes": carried, "bytes_a_line": round(carried / max(1, lines), 1),
         "drain_to_last_ack_ms": round(max(drains, default=0.0), 1), "turn_to_last_ack_ms": turn_ms(evidence, proxies),
-        "pilot_cpu_of_a_core": round(cpu_s / took_s, 3), "longest_channel": round(longest_channel(evidence), 1),
+        "pilot_cpu_of_a_core": round(arm.cpu_s / arm.took_s, 3), "longest_channel": round(longest_channel(evidence), 1),
     }  # fmt: skip
 
 
--- a/quillstep/bench/replay.py
+++ b/quillstep/bench/replay.py
@@ -12,8 +12,7 @@
 
 from quillstep.bench.streams import day_of
 from quillstep.capture import lives, read_life
-from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.day.service import service
 from quillstep.replay.daybook import read_daybook
 from quillstep.replay.faithful import Replay
@@ -57,16 +56,6 @@
     })  # fmt: skip
 
 
-def capture_day(day: DayRecord, folder: Path) -> Path:
-    arm = Arm(day, plan(day), "learnt", folder)
-    try:
-        arm.start()
-        arm.play(now_ms() + day.warm_up_s * 1000.0)
-    finally:
-        arm.stop()
-    return folder
-
-
 def fidelity(kind: str, folder: Path) -> dict[str, Any]:
     """How near the day's own replay comes, on the whole, by class and in the worst second missed most."""
     book = read_daybook(folder)
@@ -125,11 +114,13 @@
     large = DayRecord.model_validate(
         {**day_of(proxies, exchanges_per_s, seconds, 1).model_dump(), "capture": True}
     )
-    rows = [speed(capture_day(large, folder / "large"))]
+
+    def played(kind: str) -> Path:
+        return play_arm(small_day(kind), folder / kind.replace(" ", "-")).folder
+
+    rows = [speed(play_arm(large, folder / "large").folder)]
     with ThreadPoolExecutor(len(KINDS)) as pool:
-        folders = list(
-            pool.map(lambda kind: capture_day(small_day(kind), folder / kind.replace(" ", "-")), KINDS)
-        )
+        folders = list(pool.map(played, KINDS))
     rows += [fidelity(kind, each) for kind, each in zip(KINDS, folders, strict=True)]
     return {
         "bench": "replay",
--- a/quillstep/bench/streams.py
+++ b/quillstep/bench/streams.py
@@ -8,8 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.day.service import service
 from quillstep.rulecheck import Evidence, judge, longest_channel, slowest_drain
 from quillstep.settings import DayRecord
@@ -86,15 +85,7 @@
 ) -> dict[str, Any]:
     """One size, played once."""
     day = day_of(proxies, exchanges_per_s, seconds, pilots)
-    arm = Arm(day, plan(day), "learnt", folder / f"{proxies}")
-    try:
-        arm.start()
-        begin = now_ms()
-        arm.play(begin + day.warm_up_s * 1000.0)
-        took_s = (now_ms() - begin) / 1000.0
-        cpu_s = arm.pilot_cpu_s()
-    finally:
-        arm.stop()
+    arm = play_arm(day, folder / f"{proxies}")
     evidence = arm.evidence()
     drains = drain_times(evidence)
     served = service(day.fleet, evidence.exchanges)
@@ -105,8 +96,8 @@
         "rules_broken": len(judge(evidence)), "breaks": [found._asdict() for found in judge(evidence)[:5]],
         "drains": len(drains), "drain_to_last_ack_ms": round(max(drains, default=0.0), 1),
         "last_try_after_drain_ms": round(slowest_drain(evidence), 1),
-        "pilot_cpu_ms_a_proxy_a_s": round(cpu_s * 1000.0 / took_s / proxies, 3),
-        "pilot_cpu_of_a_core": round(cpu_s / took_s / pilots, 3),
+        "pilot_cpu_ms_a_proxy_a_s": round(arm.cpu_s * 1000.0 / arm.took_s / proxies, 3),
+        "pilot_cpu_of_a_core": round(arm.cpu_s / arm.took_s / pilots, 3),
         "longest_channel": round(longest_channel(evidence), 1), "responses": len(sent),
         **line_costs(evidence),
     }  # fmt: skip
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -32,6 +32,7 @@
         self.day, self.made, self.decides, self.folder = day, made, decides, folder
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
+        self.begin_ms = self.took_s = self.cpu_s = 0.0
         self.children: list[Child] = []
         self.pilots: list[Child | None] = []
         self.addresses: list[str] = []
@@ -213,6 +214,20 @@
         return read_evidence(self.folder, found)
 
 
+def play_arm(day: DayRecord, folder: Path, decides: str = "learnt") -> Arm:
+    """One arm alone, from its start to its end; `begin_ms`, `took_s` and `cpu_s` (of the pilots) stand in it."""
+    arm = Arm(day, plan(day), decides, folder)
+    try:
+        arm.start()
+        arm.begin_ms = now_ms() + day.warm_up_s * 1000.0
+        arm.play(arm.begin_ms)
+        arm.took_s = (now_ms() - arm.begin_ms) / 1000.0 + day.warm_up_s
+        arm.cpu_s = arm.pilot_cpu_s()
+    finally:
+        arm.stop()
+    return arm
+
+
 def play_day(day: DayRecord, folder: Path, arms: list[str] | None = None) -> dict[str, Any]:
     """Play all arms at once and judge them; the result is what the last line of `quillstep day` says."""
     names = ["learnt", *day.baselines] if arms is None else arms
--- a/quillstep/xds/delta.py
+++ b/quillstep/xds/delta.py
@@ -5,40 +5,20 @@
 message of the channel, and when it was ordered (milliseconds).
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any
 
 from envoy.service.discovery.v3 import discovery_pb2
 
-from quillstep.settings import LimitsRecord
-from quillstep.tables import Change, Key, Refusal, Tables
+from quillstep.tables import Change, Key, Refusal
 from quillstep.tables.content import LINE, OTHER, OUT
 from quillstep.xds import resources
-from quillstep.xds.grpc import INVALID_ARGUMENT, RESOURCE_EXHAUSTED
+from quillstep.xds.stream import Response, Stream
 
 KNOWN = frozenset(resources.TYPES.values())
 
 
-class Response(NamedTuple):
-    """Bytes to send, and what a record says of them: order, type, how many resources, how many removed."""
-
-    message: bytes
-    number: int
-    url: str
-    nonce: str
-    changed: int
-    removed: int
-
-
-class StreamFault(Exception):
-    """What a peer asked for ends its stream, with this status."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 @dataclass(slots=True)
 class Subscription:
     """What a stream asks for of one type: names, globs of collections, or all."""
@@ -48,30 +28,18 @@
     wildcard: bool = False
 
 
-class DeltaStream:
-    """The state of one stream of one proxy; belongs to the deciding thread."""
-
-    def __init__(
-        self,
-        tables: Tables,
-        encoder: resources.Encoder,
-        limits: LimitsRecord,
-        epoch: str,
-        ordered_ms: Callable[[int], float],
-    ) -> None:
-        self.tables, self.encoder, self.limits, self.epoch = tables, encoder, limits, epoch
-        self.ordered_ms = ordered_ms
-        self.proxy = -1
+class DeltaStream(Stream):
+    """The state of one delta stream."""
+
+    def __init__(self, *shared: Any) -> None:
+        super().__init__(*shared)
         self.subscriptions: dict[str, Subscription] = {}
-        self.nonces = 0
-        self.errors: list[Response] = []
 
     # requests
 
     def first(self, request: discovery_pb2.DeltaDiscoveryRequest) -> dict[Key, str]:
         """What the opening words say the proxy holds."""
-        if not request.node.id:
-            raise StreamFault(INVALID_ARGUMENT, "the first request names no node")
+        self.named(request)
         return self.held(request)
 
     def held(self, request: discovery_pb2.DeltaDiscoveryRequest) -> dict[Key, str]:
@@ -84,16 +52,12 @@
         """Take a request in; what it acknowledged, and what it refused."""
         url = request.type_url
         if url not in KNOWN:
-            self.unknown(request)
+            response = discovery_pb2.DeltaDiscoveryResponse(
+                removed_resources=request.resource_names_subscribe
+            )
+            self.unserved(request, list(request.resource_names_subscribe), response)
             return [], None
-        acknowledged: list[Change] = []
-        refusal = None
-        if request.response_nonce:
-            if request.HasField("error_detail"):
-                reason = request.error_detail.message or f"code {request.error_detail.code}"
-                refusal = self.tables.refuse(self.proxy, request.response_nonce, reason, now_ms)
-            else:
-                acknowledged = self.tables.acknowledge(self.proxy, request.response_nonce)
+        acknowledged, refusal = self.word(request, now_ms)
         fresh = url not in self.subscriptions
         held = self.subscriptions.setdefault(url, Subscription())
         if fresh:
@@ -124,9 +88,7 @@
                 held.names.add(named)
                 continue
             self.ask_all(url, held)
-        if len(held.names) + len(held.globs) > self.limits.subscriptions_most:
-            most = self.limits.subscriptions_most
-            raise StreamFault(RESOURCE_EXHAUSTED, f"more than {most} names subscribed of one type")
+        self.bounded(len(held.names) + len(held.globs))
         self.tables.ask(self.proxy, known, False)
         self.tables.ask(self.proxy, again, True)
 
@@ -156,26 +118,6 @@
         held = self.subscriptions.get(resources.type_url(key))
         return held is not None and (key[0] == OTHER or self.covers(held, key))
 
-    def unknown(self, request: discovery_pb2.DeltaDiscoveryRequest) -> None:
-        """A type that we don't serve: an answer that the peer can read, and its stream goes on."""
-        if request.response_nonce:
-            return  # its acknowledgement of that answer
-        response = discovery_pb2.DeltaDiscoveryResponse(type_url=request.type_url, nonce=self.nonce())
-        for named in list(request.resource_names_subscribe) or ["*"]:
-            error = response.resource_errors.add()
-            error.resource_name.name = named
-            error.error_detail.code = INVALID_ARGUMENT
-            error.error_detail.message = (
-                f"this pilot serves no {request.type_url or 'resources without a type'}"
-            )
-            response.removed_resources.append(named)
-        message = response.SerializeToString()
-        self.errors.append(Response(message, 0, request.type_url, response.nonce, 0, 0))
-
-    def nonce(self) -> str:
-        self.nonces += 1
-        return f"{self.epoch}.{self.nonces}"
-
     # responses
 
     def pump(self, now_ms: float) -> list[Response]:
@@ -196,7 +138,7 @@
 
     def response(self, url: str, nonce: str, changes: list[Change], number: int) -> Response:
         head = discovery_pb2.DeltaDiscoveryResponse(
-            system_version_info=f"{self.epoch}/{number}/{self.ordered_ms(number):.1f}",
+            system_version_info=self.stamp(number),
             type_url=url,
             nonce=nonce,
         )
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -12,12 +12,13 @@
 from quillstep.settings import PilotRecord
 from quillstep.tables import Tables
 from quillstep.xds import resources
-from quillstep.xds.delta import DeltaStream, Response, StreamFault
+from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
 from quillstep.xds.loads import Hooks, take_report
 from quillstep.xds.peer import Peer
 from quillstep.xds.server import DELTA, LOAD, SOTW, News, Server
 from quillstep.xds.sotw import SotwStream
+from quillstep.xds.stream import Response, StreamFault
 
 TEND_MS = 500.0
 At = tuple[Peer, int]
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -22,8 +22,7 @@
     encode_header,
 )
 from quillstep.capture.reader import between, cut
-from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.replay.faithful import Replay
 
 RECORDS = [["probe", at - 1.0, float(at), at, True, 2.5, {"util": 0.5}] for at in range(1, 41)]
@@ -152,12 +151,7 @@
         seconds=4.0, troubles=troubles, endpoints=[{"each_zone": 3}], proxies=6, pilots=2, file_proxies=0.34,
         sotw_proxies=0.17, capture=True,
     )  # fmt: skip
-    arm = Arm(day, plan(day), "learnt", tmp_path_factory.mktemp("captured") / "learnt")
-    try:
-        arm.start()
-        arm.play(now_ms() + day.warm_up_s * 1000.0)
-    finally:
-        arm.stop()
+    arm = play_arm(day, tmp_path_factory.mktemp("captured") / "learnt")
     return arm.folder
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -12,7 +12,7 @@
 
 from quillstep.day.children import Child
 from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.day.service import service
 from quillstep.pilot.probes import load_of
 from quillstep.rulecheck import judge
@@ -30,12 +30,7 @@
 
 
 def played(day, folder):
-    arm = Arm(day, plan(day), "learnt", folder / "learnt")
-    try:
-        arm.start()
-        arm.play(now_ms() + day.warm_up_s * 1000.0)
-    finally:
-        arm.stop()
+    arm = play_arm(day, folder / "learnt")
     return arm, arm.evidence()
 
 
--- a/tests/test_whatif.py
+++ b/tests/test_whatif.py
@@ -8,8 +8,7 @@
 import pytest
 from fleet import CLASSES, fleet, pilot_record, small_day
 
-from quillstep.day.plan import plan
-from quillstep.day.run import Arm, now_ms
+from quillstep.day.run import play_arm
 from quillstep.replay.daybook import Daybook, PilotLife, apart, read_daybook
 from quillstep.replay.infer import SPAN_MS, fit, infer
 from quillstep.replay.model import VirtualDay
@@ -211,12 +210,7 @@
 def test_a_captured_day_on_sockets_compares_from_the_command_line_alike_under_any_hash_seed(tmp_path):
     troubles = [{"at_s": 1.0, "for_s": 1.0, "what": "fail", "count": 1, "factor": 10.0}]
     day = small_day(seconds=3.0, troubles=troubles, capture=True, pilots=2)
-    arm = Arm(day, plan(day), "learnt", tmp_path / "learnt")
-    try:
-        arm.start()
-        arm.play(now_ms() + day.warm_up_s * 1000.0)
-    finally:
-        arm.stop()
+    arm = play_arm(day, tmp_path / "learnt")
     assert len(read_daybook(arm.folder).exchanges) > 50
     command = [sys.executable, "-m", "quillstep.cli", "replay", "compare", str(arm.folder), "--seeds", "2"]
     chart = tmp_path / "chart.png"
