Cheaper looks on both sides of the file front

Need: 262 proxies that look every 30 ms took a third of four cores and a busy host made drains late. Change: the watcher takes one stamp of a directory before it looks at its files (unless it is so fresh that two changes may share it); a proxy reads its link without path objects and looks for its pilot's sign every eighth time.

--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -26,6 +26,7 @@
 
 ALIVE_PART = 0.1  # of the time after which silence counts, between two signs of life of ours
 BATCH_MOST = 512  # generations between two syncs
+FRESH_MS = 100.0  # in which a directory may change twice under one time stamp
 CLEAR_EVERY = 2000  # swaps between two looks for contents that nobody links
 
 
@@ -119,8 +120,13 @@
                 self.once(seen, "", str(trouble))
 
     def look(self, proxy: str, seen: dict[tuple[str, str], Any]) -> None:
+        """One proxy's directory.  Its own stamp spares the rest, unless it is so fresh that a change may share it."""
         try:
-            for name in ("hello.json", "ack.json"):
+            here = self.disk.stamp(proxy, "")
+            quiet = here is not None and time.time() * 1000.0 - here[0] / 1e6 > FRESH_MS
+            changed = not quiet or seen.get((proxy, "")) != here
+            seen[proxy, ""] = here if quiet else None
+            for name in ("hello.json", "ack.json") if changed else ():
                 at = self.disk.stamp(proxy, name)
                 if at == seen.get((proxy, name)):
                     continue
--- a/quillstep/standins/follow_files.py
+++ b/quillstep/standins/follow_files.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import threading
 import time
@@ -25,6 +26,7 @@
     from quillstep.standins.proxies import Proxy
 
 LOOK_S = 0.03
+ALIVE_EVERY = 8  # looks between two at its pilot's sign of life
 DEAD_MS = 1500.0  # a pilot without a sign of life for so long is left
 GONE = (health_check_pb2.DRAINING, health_check_pb2.UNHEALTHY)
 
@@ -73,7 +75,7 @@
     def follow(self, root: str) -> None:
         here = Path(root) / safe_name(self.proxy.name)
         (here / "load").mkdir(parents=True, exist_ok=True)
-        self.done = self.current(here)
+        self.done = self.current(f"{here}/current")
         generation = self.accepted.get(root, 0)
         hello = {"node": self.proxy.name, "zone": self.proxy.zone, "usual": self.proxy.usual,
                  "generation": 0, "versions": self.held.versions}  # fmt: skip
@@ -82,11 +84,14 @@
         self.put(here / "hello.json", msgspec.json.encode(hello))
         self.record(what="stream", up=True, pilot=root)
         self.here = here
-        while not self.ended.wait(LOOK_S) and self.alive(root):
+        link = f"{here}/current"
+        for look in itertools.count():
+            if self.ended.wait(LOOK_S) or (look % ALIVE_EVERY == 0 and not self.alive(root)):
+                break
             if (left := self.stalled_ms - now_ms()) > 0:
                 self.ended.wait(left / 1000.0)
                 continue
-            if self.current(here) != self.done:
+            if self.current(link) != self.done:
                 self.ended.wait(self.late_ms * self.proxy.draw() / 1000.0)
                 self.look(root, here)
         self.here = None
@@ -104,9 +109,9 @@
         os.replace(new, path)
 
     @staticmethod
-    def current(here: Path) -> int:
+    def current(link: str) -> int:
         try:
-            name = os.path.basename(os.readlink(here / "current"))
+            name = os.readlink(link).rpartition("/")[2]
             return int(name) if name.isdigit() else 0
         except OSError:
             return 0
