A clear line when another pilot holds the root; what a capture costs

Need: a second pilot told to write one directory ended with a traceback, not a line; the capture's cost to the pilot had not been measured.

--- a/quillstep/bench/replay.py
+++ b/quillstep/bench/replay.py
@@ -109,6 +109,20 @@
     }  # fmt: skip
 
 
+def capture_cost(proxies: int, exchanges_per_s: float, seconds: float, folder: Path) -> dict[str, Any]:
+    """The pilot's processor time with a capture over that without, the same day played twice in one run."""
+    plain = day_of(proxies, exchanges_per_s, seconds, 1)
+    used = {}
+    for capture in (False, True):
+        day = DayRecord.model_validate({**plain.model_dump(), "capture": capture})
+        arm = play_arm(day, folder / f"cost-{capture}")
+        used[capture] = arm.cpu_s / arm.took_s
+    return {
+        "day": f"{proxies} proxies, captured or not", "pilot_cpu_without": round(used[False], 4),
+        "pilot_cpu_with": round(used[True], 4), "with_over_without": round(used[True] / used[False], 3),
+    }  # fmt: skip
+
+
 def run(proxies: int, exchanges_per_s: float, seconds: float, folder: Path) -> dict[str, Any]:
     """The large day first, then five small ones side by side."""
     large = DayRecord.model_validate(
@@ -119,6 +133,7 @@
         return play_arm(small_day(kind), folder / kind.replace(" ", "-")).folder
 
     rows = [speed(play_arm(large, folder / "large").folder)]
+    rows.append(capture_cost(max(16, proxies // 4), exchanges_per_s / 4.0, 20.0, folder))
     with ThreadPoolExecutor(len(KINDS)) as pool:
         folders = list(pool.map(played, KINDS))
     rows += [fidelity(kind, each) for kind, each in zip(KINDS, folders, strict=True)]
--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -40,12 +40,17 @@
 def pilot(settings: str, with_parent: bool) -> None:
     """Run one pilot until it is told to stop."""
     record = checked(PilotRecord, settings)
+    from quillstep.files.disk import Refused
     from quillstep.pilot.service import Pilot
 
     try:
         running = Pilot(record)
+    except Refused as trouble:
+        click.echo(f"quillstep: {settings}: files.root: {trouble}", err=True)
+        sys.exit(2)
     except OSError as trouble:
-        click.echo(f"quillstep: {record.listen}: {trouble.strerror}", err=True)
+        where = trouble.filename or record.listen
+        click.echo(f"quillstep: {settings}: {where}: {trouble.strerror or trouble}", err=True)
         sys.exit(2)
     click.echo(msgspec.json.encode({"ready": running.server.address}).decode())
     sys.stdout.flush()
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -147,6 +147,18 @@
     Disk(str(tmp_path)).close()
 
 
+def test_a_pilot_told_to_write_where_another_writes_ends_with_a_clear_line(tmp_path):
+    disk = Disk(str(tmp_path / "root"))
+    record = pilot_record(files=FilesRecord(root=str(tmp_path / "root")))
+    path = tmp_path / "p.cue"
+    path.write_bytes(msgspec.json.encode(record.model_dump()))
+    command = [sys.executable, "-m", "quillstep.cli", "pilot", "--settings", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+    assert done.returncode == 2
+    assert done.stderr.strip() == f"quillstep: {path}: files.root: {tmp_path / 'root'} is written by another pilot"
+    disk.close()
+
+
 def lay_link(root):
     os.symlink("/tmp", root / "p")
 
