Mend what a second reading found: twins, dead state, files read twice

Need: both fronts said refusals each in its own words, service and replay judged an exchange's credit each by its own lines, the intake's due time stood twice; state and imports that nothing read; captures were read whole for a header.

Change: warn_refused, earned_part and Intake.due_ms are called instead; Core.watch, Channel.messages, the front's counts, an unused argument and unused exports go; a capture's header and an indexed block are read by themselves.

--- a/quillstep/capture/reader.py
+++ b/quillstep/capture/reader.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from quillstep.capture.format import (
+    HEAD,
+    MARK,
     BadBlock,
     Header,
     Record,
@@ -16,8 +18,8 @@
     decode_block,
     decode_header,
     encode_block,
+    encode_header,
 )
-from quillstep.capture.format import encode_header as encode_head
 from quillstep.capture.writer import INDEX
 
 
@@ -39,7 +41,7 @@
     """All lives in a folder, by their first time, read through and counted.  Raises BadBlock for a bad header."""
     found: dict[str, Life] = {}
     for path in sorted(folder.glob("*.qcap")):
-        header, _ = decode_header(path.read_bytes())
+        header = header_of(path)
         life = found.setdefault(header.epoch, Life(header))
         life.segments.append(path)
         life.bytes += path.stat().st_size
@@ -52,6 +54,14 @@
     return sorted(found.values(), key=lambda life: life.first_ms)
 
 
+def header_of(path: Path) -> Header:
+    """A segment's header, without reading the rest of it.  Raises BadBlock."""
+    with path.open("rb") as file:
+        head = file.read(HEAD.size)
+        size = HEAD.unpack(head)[2] if len(head) == HEAD.size else 0
+        return decode_header(head + file.read(size))[0]
+
+
 def read_life(life: Life) -> Iterator[Record]:
     """Its records in sequence.  A torn tail is cut at the last whole block, and said in `torn`.
 
@@ -76,8 +86,6 @@
 
 def whole_after(data: bytes, at: int) -> bool:
     """Whether any whole block follows a bad one."""
-    from quillstep.capture.format import MARK
-
     at = data.find(MARK, at + 1)
     while at >= 0:
         try:
@@ -97,10 +105,11 @@
                 yield record
         return
     for segment, at, size in places:
-        data = life.segments[segment].read_bytes()
-        header, _ = decode_header(data[: 2**20])
-        for block in blocks(data[: at + size], at):
-            for record in decode_block(block, header.version):
+        with life.segments[segment].open("rb") as file:
+            file.seek(at)
+            data = file.read(size)
+        for block in blocks(data, 0):
+            for record in decode_block(block, life.header.version):
                 if first_ms <= record[2] <= last_ms:
                     yield record
 
@@ -135,7 +144,7 @@
     header = Header(life.header.pilot, life.header.epoch, 0, life.header.settings, life.header.wall_offset_ms)
     path = out / f"{life.header.epoch}-0000.qcap"
     with path.open("wb") as file:
-        file.write(encode_head(header))
+        file.write(encode_header(header))
         for at in range(0, len(kept), 512):
             file.write(encode_block(kept[at : at + 512]))
     return len(kept)
--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -21,7 +21,7 @@
 from quillstep.settings import PilotRecord
 from quillstep.tables import Content, Key, Tables
 from quillstep.xds import resources
-from quillstep.xds.front import warn_overdue
+from quillstep.xds.front import warn_overdue, warn_refused
 from quillstep.xds.loads import Hooks, take_report
 
 ALIVE_PART = 0.1  # of the time after which silence counts, between two signs of life of ours
@@ -302,12 +302,7 @@
             self.tap("ack", now_ms, proxy=node, nonce=nonce)
         if word.refusal:
             self.tap("nack", now_ms, proxy=node, nonce=nonce)
-            named = [resources.name(change.key) for change in word.refusal.changes]
-            step = "set apart until it changes" if word.refusal.alone else "tried in parts"
-            more = f" and {len(named) - 1} more" if len(named) > 1 else ""
-            self.log.warning(
-                "version refused", proxy=node, table=named[0] + more, version=number, reason=reason, next=step
-            )
+            warn_refused(self.log, node, word.refusal, number)
         self.tables.stirred.add(lane.proxy)
 
     def load(self, lane: Lane, data: bytes) -> None:
@@ -335,7 +330,7 @@
             if here:
                 self.waits[lane.proxy] = lane.retry_ms
             return
-        lane.written(generation.number)
+        lane.written()
         if here:
             self.tap(
                 "send", at_ms, proxy=self.nodes[lane.proxy], order=generation.order,
--- a/quillstep/files/lane.py
+++ b/quillstep/files/lane.py
@@ -109,7 +109,7 @@
             return made, changes
         return made, []
 
-    def written(self, number: int) -> None:
+    def written(self) -> None:
         self.writing, self.fails = False, 0
 
     def failed(self, ledger: Ledger | None, number: int, now_ms: float, retry_ms: float) -> None:
--- a/quillstep/pilot/channel.py
+++ b/quillstep/pilot/channel.py
@@ -14,7 +14,6 @@
         self.waiting = 0.0  # lines, the head included
         self.most = 0.0
         self.ready_ms = 0.0  # when the head has been sent in full
-        self.messages = 0
 
     def put(self, pushes: list[Push], now_ms: float) -> None:
         if not pushes:
@@ -24,7 +23,6 @@
         self.queue.extend(pushes)
         self.waiting += sum(push.lines for push in pushes)
         self.most = max(self.most, self.waiting)
-        self.messages += len(pushes)
 
     def leave(self, now_ms: float) -> list[Push]:
         """The pushes that have left by now, in sequence."""
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -47,7 +47,6 @@
         self.wakes: list[tuple[float, int]] = []
         self.ordered: dict[int, float] = {}
         self.probes: list[tuple[int, str, int]] = []  # to be asked: endpoint and address
-        self.watch = False  # the module asks for the list anew
         self.placed: list[tuple[int, str, int]] = []
         self.now_ms = 0.0
         self.rounds = 0
@@ -137,8 +136,7 @@
         if not self.listed:
             return float("inf")
         due = self.wakes[0][0] if self.wakes else float("inf")
-        if self.intake.sums or self.intake.arrivals:
-            due = min(due, (self.intake.since_ms or 0.0) + self.intake.period_ms)
+        due = min(due, self.intake.due_ms())
         if self.news_ms is not None:
             due = min(due, self.news_ms + self.record.gather_ms)
         return due
@@ -152,7 +150,7 @@
             heapq.heappop(self.wakes)
         incoming, self.incoming, self.news_ms = self.incoming, Incoming(0.0), None
         incoming.now_ms = now_ms
-        if self.intake.due(now_ms):
+        if self.intake.due_ms() <= now_ms:
             incoming.sums, incoming.arrivals = self.intake.hand_over(now_ms)
             incoming.arrivals = [row for row in incoming.arrivals if row[1] in self.zones]
         self.tables.begin()
@@ -204,7 +202,7 @@
         self.core.tables.receipt(serial)
 
     def watch_list(self) -> None:
-        self.core.watch = True
+        """Nothing to do: the roster's stream is dialled anew by itself, and brings what was missed."""
 
     def wake(self, token: int, at_ms: float) -> None:
         heapq.heappush(self.core.wakes, (at_ms, token))
--- a/quillstep/pilot/decide.py
+++ b/quillstep/pilot/decide.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from quillstep.files.front import FileFront
-from quillstep.files.lane import Lane
 from quillstep.pilot.core import Core
 from quillstep.settings import PilotRecord
 from quillstep.xds.front import XdsFront
@@ -59,5 +58,3 @@
         """When a turn has something to do without any news."""
         return min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
 
-
-__all__ = ["Decider", "Lane"]
--- a/quillstep/pilot/intake.py
+++ b/quillstep/pilot/intake.py
@@ -36,8 +36,11 @@
     def arrived(self, place: int, proxy: int, arrived: int, unanswered: int, covers_ms: float) -> None:
         self.arrivals.append((place, proxy, arrived, unanswered, covers_ms))
 
-    def due(self, now_ms: float) -> bool:
-        return bool(self.sums or self.arrivals) and now_ms >= (self.since_ms or 0.0) + self.period_ms
+    def due_ms(self) -> float:
+        """When what has gathered is to be handed over; never while there is nothing."""
+        if not (self.sums or self.arrivals):
+            return float("inf")
+        return (self.since_ms or 0.0) + self.period_ms
 
     def hand_over(self, now_ms: float) -> tuple[list[tuple], list[tuple]]:
         """Sums and arrivals in the interface's shape; starts anew."""
--- a/quillstep/pilot/tell.py
+++ b/quillstep/pilot/tell.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from quillstep.capture.format import Record
-from quillstep.files.front import Hello, Job, Parked
+from quillstep.files.front import Hello, Parked
 from quillstep.tables import Content
 
 
@@ -50,5 +50,3 @@
     made = {tuple(key): Content(version, tuple(what)) for key, version, what in contents}
     return Parked(msgspec.convert(hello, Hello), newest, holds, made)
 
-
-__all__ = ["Job", "Teller", "parked_of", "tell_files"]
--- a/quillstep/replay/whatif.py
+++ b/quillstep/replay/whatif.py
@@ -11,14 +11,14 @@
 import msgspec
 import xxhash
 
-from quillstep.day.service import service
+from quillstep.day.service import earned_part, service
 from quillstep.pilot.core import Core
 from quillstep.pilot.decide import Decider
 from quillstep.replay.daybook import Daybook, PilotLife
 from quillstep.replay.infer import Inferred, held_out_error, infer, tries_of
 from quillstep.replay.model import Endpoint, Proxy, VirtualDay
 from quillstep.rulecheck import Evidence, judge
-from quillstep.settings import PilotRecord, changed
+from quillstep.settings import ClassRecord, PilotRecord, changed
 from quillstep.tables.content import ENTRY
 
 ACK_PART = 0.5  # of a captured delay, the way there; the rest is the word's way back
@@ -286,14 +286,15 @@
 
 def windows(fleet: Any, exchanges: list[dict[str, Any]], span_ms: float = 1000.0) -> list[float]:
     """Service second by second, from the first exchange on."""
-    credits = {row.name: row.credit for row in fleet.classes}
+    classes = {row.name: row for row in fleet.classes}
     begin = min((row["at"] for row in exchanges), default=0.0)
     asked: dict[int, float] = defaultdict(float)
     won: dict[int, float] = defaultdict(float)
     for row in exchanges:
         at = int((row["at"] - begin) // span_ms)
-        asked[at] += credits[row["class"]]
-        won[at] += credits[row["class"]] * earned(fleet, row)[0]
+        kind = classes[row["class"]]
+        asked[at] += kind.credit
+        won[at] += kind.credit * earned_part(kind, row)[0]
     return [round(won[at] / asked[at], 4) if asked[at] else 1.0 for at in range(max(asked, default=-1) + 1)]
 
 
@@ -302,32 +303,35 @@
     return sum(held) / len(held)
 
 
-def earned(fleet: Any, row: dict[str, Any]) -> tuple[float, str]:
-    """The part of its credit that an exchange earned, and why not all."""
-    kind = {each.name: each for each in fleet.classes}[row["class"]]
-    took = row["end"] - row["at"]
-    if row["outcome"] == "ok" and took <= kind.agreed_ms:
-        return 1.0, ""
+def why_lost(kind: ClassRecord, row: dict[str, Any]) -> str:
+    """What cost an exchange its credit, or part of it; empty where it earned all."""
+    part, _ = earned_part(kind, row)
+    if part == 1.0:
+        return ""
     if row["outcome"] == "ok":
-        return (kind.late_credit if took <= kind.cut_off_ms else 0.0), "late"
+        return "late"
     if row["outcome"] in ("refused", "bare"):
-        return 0.0, row["outcome"]
-    return 0.0, "tried twice" if len(row["tries"]) > 1 else "lost"
+        return str(row["outcome"])
+    return "tried twice" if len(row["tries"]) > 1 else "lost"
 
 
 def causes(fleet: Any, exchanges: list[dict[str, Any]]) -> dict[str, float]:
     """The part of all credit lost to each cause."""
-    credits = {row.name: row.credit for row in fleet.classes}
-    total = sum(credits[row["class"]] for row in exchanges) or 1.0
+    classes = {row.name: row for row in fleet.classes}
+    total = sum(classes[row["class"]].credit for row in exchanges) or 1.0
     lost: dict[str, float] = defaultdict(float)
     for row in exchanges:
-        part, why = earned(fleet, row)
-        if why:
-            lost[why] += (1.0 - part) * credits[row["class"]] / total
+        kind = classes[row["class"]]
+        if why := why_lost(kind, row):
+            lost[why] += (1.0 - earned_part(kind, row)[0]) * kind.credit / total
     return {why: round(part, 4) for why, part in sorted(lost.items())}
 
 
 def fates(fleet: Any, one: list[dict[str, Any]], two: list[dict[str, Any]]) -> dict[str, int]:
     """How many exchanges are answered in time in one and not in the other."""
-    good = [{row["exchange"] for row in rows if earned(fleet, row)[0] == 1.0} for rows in (one, two)]
+    classes = {row.name: row for row in fleet.classes}
+    good = [
+        {row["exchange"] for row in rows if earned_part(classes[row["class"]], row)[0] == 1.0}
+        for rows in (one, two)
+    ]
     return {"won": len(good[1] - good[0]), "lost": len(good[0] - good[1])}
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -246,8 +246,8 @@
         return kind.model_validate(plain)
     except ValidationError as trouble:
         gone = [error["loc"] for error in trouble.errors() if error["type"] == "extra_forbidden"]
-    if not gone:
-        return kind.model_validate(plain)
+        if not gone:
+            raise
     kept = json.loads(json.dumps(plain))
     for *parents, last in gone:
         at = kept
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -10,7 +10,7 @@
 from envoy.service.load_stats.v3 import lrs_pb2
 
 from quillstep.settings import PilotRecord
-from quillstep.tables import Tables
+from quillstep.tables import Refusal, Tables
 from quillstep.xds import resources
 from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
@@ -48,7 +48,6 @@
         self.held_back: dict[int, float] = {}  # proxies whose refused parts wait, and until when
         self.full: list[Peer] = []  # peers that had no room at the last pump
         self.warned: set[tuple[str, int]] = set()
-        self.counts = dict.fromkeys(("sent", "acknowledged", "refused", "bytes", "resources"), 0)
         self.log = structlog.get_logger("xds")
 
     def take(self, news: News, now_ms: float) -> None:
@@ -85,20 +84,11 @@
             return  # it has dialled anew; this is the old stream's last word
         acknowledged, refusal = stream.request(request, now_ms)
         if acknowledged:
-            self.counts["acknowledged"] += 1
             self.tap("ack", now_ms, proxy=self.nodes[stream.proxy], nonce=request.response_nonce)
         if refusal:
-            self.counts["refused"] += 1
             self.tap("nack", now_ms, proxy=self.nodes[stream.proxy], nonce=request.response_nonce)
-            named = [resources.name(change.key) for change in refusal.changes]
-            self.log.warning(
-                "version refused",
-                proxy=self.nodes[stream.proxy],
-                table=named[0] if len(named) == 1 else f"{named[0]} and {len(named) - 1} more",
-                version=refusal.changes[0].content.version if refusal.changes[0].content else "removal",
-                reason=refusal.reason[:500],
-                next="set apart until it changes" if refusal.alone else "tried in parts",
-            )
+            first = refusal.changes[0].content
+            warn_refused(self.log, self.nodes[stream.proxy], refusal, first.version if first else "removal")
             self.held_back[stream.proxy] = self.tables.ledgers[stream.proxy].not_before_ms
 
     def join(self, at: At, stream: DeltaStream | SotwStream, request: Any, now_ms: float) -> None:
@@ -165,9 +155,6 @@
             self.tend(now_ms)
 
     def carry(self, proxy: int, at: At, response: Response, now_ms: float) -> None:
-        self.counts["sent"] += 1
-        self.counts["bytes"] += len(response.message)
-        self.counts["resources"] += response.changed + response.removed
         if response.changed or response.removed:
             self.tap(
                 "send", now_ms, proxy=self.nodes[proxy], order=response.number,
@@ -209,6 +196,19 @@
             take_report(self.hooks, proxy, stats)
 
 
+def warn_refused(log: Any, node: str, refusal: Refusal, version: Any) -> None:
+    """Say what a proxy refused, why, and what comes of it."""
+    named = [resources.name(change.key) for change in refusal.changes]
+    log.warning(
+        "version refused",
+        proxy=node,
+        table=named[0] + (f" and {len(named) - 1} more" if len(named) > 1 else ""),
+        version=version,
+        reason=refusal.reason[:500],
+        next="set apart until it changes" if refusal.alone else "tried in parts",
+    )
+
+
 def warn_overdue(
     tables: Tables, proxy: int, node: str, record: PilotRecord, warned: set, now_ms: float, log: Any
 ) -> None:
@@ -221,4 +221,4 @@
             log.warning("drain not acknowledged", proxy=node, endpoint=late[1], version=late[0])
 
 
-__all__ = ["DELTA", "LOAD", "SOTW", "Hooks", "XdsFront", "warn_overdue"]
+__all__ = ["DELTA", "LOAD", "SOTW", "Hooks", "XdsFront", "warn_overdue", "warn_refused"]
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -246,7 +246,7 @@
             pilot.core.step(pilot.now)
             made = lane.next(pilot.core.tables, pilot.now)
             if made:
-                lane.written(made.number)
+                lane.written()
                 return made
         return None
 
@@ -326,9 +326,9 @@
     tables = pilot.core.tables
     lane.word(tables, step().number, "", pilot.now)
     order(pilot, lambda tables: tables.line(0, 3, 77.0))
-    made = lane.next(tables, pilot.now)
+    assert lane.next(tables, pilot.now)
     order(pilot, lambda tables: tables.withdraw(4, True, "draining"))
-    lane.written(made.number)
+    lane.written()
     after = lane.next(tables, pilot.now)
     assert (OUT, 4) in after.contents and after.changed == 1
     assert lane.word(tables, after.number, "", pilot.now).acknowledged
@@ -406,6 +406,12 @@
         os.replace(here / "new", here / "ack.json")
 
 
+def catch_up(stream):
+    for _ in range(20):
+        stream.pump()
+        stream.read()
+
+
 def current(here):
     return int(os.path.basename(os.readlink(here / "current"))) if (here / "current").is_symlink() else 0
 
@@ -441,9 +447,7 @@
     order(fronted.pilot, lambda tables: tables.withdraw(4, True, "draining"))
     fronted.until(lambda: next(iter(fronted.front.lanes.values())).fails >= 2)
     assert current(here) == 1 and read_generation(here)[0].generation == 1
-    for _ in range(20):  # its neighbour's drain does not wait for the disk
-        stream.pump()
-        stream.read()
+    catch_up(stream)  # its neighbour's drain does not wait for the disk
     assert any(
         name.endswith("withdrawn/4")
         for name in stream.versions["type.googleapis.com/envoy.config.endpoint.v3.LbEndpoint"]
@@ -465,9 +469,7 @@
     stream = fronted.pilot.join("s/1")
     fronted.until(lambda: fronted.front.lanes and next(iter(fronted.front.lanes.values())).writing)
     fronted.until(lambda: fronted.pilot.core.tables.ledgers[stream.number].bound)
-    for _ in range(20):
-        stream.pump()
-        stream.read()
+    catch_up(stream)
     assert "exchanges" in stream.versions["type.googleapis.com/envoy.config.route.v3.RouteConfiguration"]
     assert not current(here)
     slow.set()
