--- a/quillstep/capture/format.py
+++ b/quillstep/capture/format.py
@@ -11,8 +11,9 @@
     probe    endpoint, answered, took, load  files    kind, directory, payload, age_ms
     step     peers that were full            orders   round, the module's orders in sequence
     sent     proxy, fields                   (what left, came back or was refused, for people to read)
+    reports  reader, what a window of load reports came to
 
-Version 1 had no `arrived_ms`; it is read with `arrived = taken`.
+Version 1 had no `arrived_ms`; it is read with `arrived = taken`.  Up to version 2 all load reports are requests.
 """
 
 import struct
@@ -24,7 +25,7 @@
 import zstandard
 
 MAGIC, MARK = b"QCAP", b"QBLK"
-VERSION = 2
+VERSION = 3
 HEAD = struct.Struct("<4sHI")
 BLOCK = struct.Struct("<4sIIddQ")
 BLOCK_MOST = 64 * 2**20
--- a/quillstep/capture/reader.py
+++ b/quillstep/capture/reader.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import lmdb
 import msgspec
@@ -21,6 +22,7 @@
     encode_header,
 )
 from quillstep.capture.writer import INDEX
+from quillstep.settings import PilotRecord, check_older
 
 
 @dataclass(slots=True)
@@ -136,12 +138,27 @@
         return None
 
 
+def settings_of(header: Header) -> dict[str, Any]:
+    """The settings of a life, as plain values.  Before version 3 all load reports came with the news."""
+    return header.settings if "reports" in header.settings else {**header.settings, "reports": {"by": "inbox"}}
+
+
+def record_of(header: Header) -> PilotRecord:
+    return check_older(PilotRecord, settings_of(header))
+
+
 def cut(life: Life, first_ms: float, last_ms: float, out: Path) -> int:
     """A piece of a life as a capture of its own; returns its records.  It replays from its beginning only if that is
     the life's own beginning: what came before is not in it."""
     out.mkdir(parents=True, exist_ok=True)
     kept = [record for record in read_life(life) if first_ms <= record[2] <= last_ms]
-    header = Header(life.header.pilot, life.header.epoch, 0, life.header.settings, life.header.wall_offset_ms)
+    header = Header(
+        life.header.pilot,
+        life.header.epoch,
+        0,
+        settings_of(life.header),
+        life.header.wall_offset_ms,
+    )
     path = out / f"{life.header.epoch}-0000.qcap"
     with path.open("wb") as file:
         file.write(encode_header(header))
--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -11,7 +11,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from quillstep.cli import logs
+from quillstep import logs
 from quillstep.settings import DayRecord, Fault, PilotRecord, changed, load
 
 
@@ -52,7 +52,8 @@
         where = trouble.filename or record.listen
         click.echo(f"quillstep: {settings}: {where}: {trouble.strerror or trouble}", err=True)
         sys.exit(2)
-    click.echo(msgspec.json.encode({"ready": running.server.address}).decode())
+    addresses = {"reports": running.processes.addresses} if running.processes else {}
+    click.echo(msgspec.json.encode({"ready": running.server.address, **addresses}).decode())
     sys.stdout.flush()
     if with_parent:
         threading.Thread(target=_end_with_input, daemon=True, args=(running.stop,)).start()
--- a/quillstep/day/children.py
+++ b/quillstep/day/children.py
@@ -33,6 +33,7 @@
             start_new_session=True,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
+        self.last: dict[str, Any] = {}  # the answer that was waited for last
         self.answers: queue.Queue[dict[str, Any] | None] = queue.Queue()
         threading.Thread(target=self.read, daemon=True).start()
 
@@ -61,6 +62,7 @@
             if found is None:
                 raise ChildError(f"{self.name} ended before it gave {key!r}; see {self.log.name}")
             if key in found:
+                self.last = found
                 return found[key]
 
     def kill(self) -> None:
--- a/quillstep/day/plan.py
+++ b/quillstep/day/plan.py
@@ -11,6 +11,10 @@
     "proxy_stall": "stall",
     "proxy_refuses": "refuse",
     "proxy_reads_nothing": "reads_nothing",
+    "proxy_cut": "cut",
+    "reports_late": "reports_late",
+    "reports_heavy": "reports_heavy",
+    "reports_cut": "reports_cut",
 }
 
 
@@ -65,13 +69,13 @@
             made.steps.append((at, "pilot", {"do": what, "pilot": pilot}))
             made.steps.append((until, "pilot", {"do": f"{what}_over", "pilot": pilot}))
         return
-    if what.startswith("proxy"):
+    if what.startswith(("proxy", "reports")):
         fit = [row["name"] for row in made.proxies if trouble.zone in ("", row["zone"])]
         if what == "proxy_moves":  # whole states tell no versions of lines to take along
             fit = [row["name"] for row in made.proxies if row["name"] in fit and not row["sotw"]]
         for name in chance.sample(fit, min(trouble.count, len(fit))):
             do = PROXY_STEPS[what]
-            made.steps.append((at, "proxy", {"do": do, "proxy": name, "for_ms": for_ms}))
+            made.steps.append((at, "proxy", {"do": do, "proxy": name, "for_ms": for_ms, "factor": trouble.factor}))
         return
     fit = [
         row for row in made.endpoints if trouble.zone in ("", row["zone"]) and row["up"] == (what != "join")
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -36,6 +36,7 @@
         self.children: list[Child] = []
         self.pilots: list[Child | None] = []
         self.addresses: list[str] = []
+        self.report_addresses: dict[int, list[str]] = {}  # of each pilot's reading processes
         self.ports: dict[int, int] = {}
         self.hosts: dict[int, Child] = {}
         self.proxies: dict[str, Child] = {}
@@ -90,10 +91,12 @@
 
     def start_pilot(self, at: int) -> None:
         """Start or start over a pilot, on the address that it had."""
+        listen = self.report_addresses.get(at, self.day.reports.listen)
         record = PilotRecord(
             name=f"pilot-{at}", seed=self.day.seed + at, listen=self.addresses[at], roster=self.roster_address,
             decides=self.decides, fleet=self.day.fleet, limits=self.day.limits,  # type: ignore[arg-type]
             files=self.day.files.model_copy(update={"root": self.root(at) if self.with_files else ""}),
+            reports=self.day.reports.model_copy(update={"listen": listen}),
             capture={"folder": str(self.folder / f"capture-{at}")} if self.day.capture else {},  # type: ignore[arg-type]
             record=str(self.folder / f"pilot-{at}.jsonl"),
         )  # fmt: skip
@@ -101,6 +104,7 @@
         path.write_bytes(msgspec.json.format(msgspec.json.encode(record.model_dump())))  # JSON is CUE
         pilot = self.child(f"pilot-{at}", "quillstep.cli", "pilot", "--settings", str(path), "--with-parent")
         self.addresses[at] = pilot.wait_for("ready")
+        self.report_addresses[at] = pilot.last.get("reports", [])
         self.pilots[at] = pilot
 
     def start_proxies(self) -> None:
@@ -112,7 +116,8 @@
                 standing = [[number, self.ports[number]] for number in row["standing"]]
                 pilots = [self.addresses[k] for k in row["pilots"]] if self.addresses else []
                 roots = [self.root(k) for k in row["pilots"]]
-                rows.append({**row, "standing": standing, "pilots": pilots, "roots": roots})
+                reports = {self.addresses[k]: self.report_addresses[k] for k in row["pilots"] if self.addresses}
+                rows.append({**row, "reports": reports, "standing": standing, "pilots": pilots, "roots": roots})
             host = self.child(f"proxies-{at}", "quillstep.standins.proxies")
             host.say(
                 proxies=rows, seed=day.seed, seconds=day.seconds, knobs=day.fleet.proxies.model_dump(),
--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -22,7 +22,7 @@
 from quillstep.tables import Content, Key, Tables
 from quillstep.xds import resources
 from quillstep.xds.front import warn_overdue, warn_refused
-from quillstep.xds.loads import Hooks, take_report
+from quillstep.xds.loads import Hooks, read_report
 
 ALIVE_PART = 0.1  # of the time after which silence counts, between two signs of life of ours
 BATCH_MOST = 512  # generations between two syncs
@@ -311,8 +311,8 @@
         except DecodeError:
             self.log.warning("load report not understood", proxy=self.nodes[lane.proxy])
             return
-        for stats in request.cluster_stats:
-            take_report(self.hooks, lane.proxy, stats)
+        if request.cluster_stats:
+            self.hooks.told(lane.proxy, read_report(request, data, self.hooks.places, self.hooks.endpoints))
 
     def written(self, job: Job, at_ms: float, trouble: str, now_ms: float) -> None:
         lane, generation = job.lane, job.generation
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -12,14 +12,16 @@
 from quillstep.interface import Incoming
 from quillstep.pilot.baselines import EvenPlanner, ListedPlanner
 from quillstep.pilot.channel import Channel
-from quillstep.pilot.intake import Intake
+from quillstep.pilot.intake import PlainIntake
+from quillstep.reports.gather import Asked, Gatherer
+from quillstep.reports.guard import Account, Told
+from quillstep.reports.intake import INTAKE_PART, Intake
 from quillstep.rules import Planner
 from quillstep.settings import PilotRecord, start_facts
 from quillstep.tables import Tables
 
 PLANNERS: dict[str, Any] = {"learnt": Planner, "even": EvenPlanner, "listed": ListedPlanner}
 ORDERS_KEPT = 4096  # whose times are remembered
-INTAKE_PART = 0.5  # of the report period between two hand-overs
 
 
 class Core:
@@ -34,7 +36,14 @@
             len(record.fleet.classes), proxies.admission, proxies.base_tries, channel.lines_per_message
         )
         self.channel = Channel(channel.lines_per_s)
-        self.intake = Intake(INTAKE_PART * proxies.report_every_ms)
+        self.plain = PlainIntake(INTAKE_PART * proxies.report_every_ms)
+        self.intake = Intake(record)
+        self.by_inbox = record.reports.by == "inbox"
+        self.gatherer = Gatherer(
+            record.reports, record.fleet
+        )  # of reports that come with the news, as files do
+        self.asked: list[Asked] = []  # what proxies are to be asked for
+        self.moves: list[tuple] = []  # what other gatherers are to be told: joins, leaves, addresses
         self.places = {row.name: place for place, row in enumerate(record.fleet.classes)}
         self.numbers: dict[str, int] = {}  # proxies by node name
         self.zones: dict[int, str] = {}  # of joined proxies
@@ -64,12 +73,19 @@
         for endpoint, (host, port) in addresses.items():
             self.endpoints[host, port] = endpoint
             self.placed.append((endpoint, host, port))
+        if addresses:
+            self.gatherer.listed(self.endpoints)
+            self.moves.append(
+                ("listed", [[host, port, number] for number, (host, port) in addresses.items()])
+            )
         for entry in entries:
             self.states[entry[0]] = entry[2]
         self.listed = self.listed or kind != "error"
         self.incoming.lists.append((kind, entries))
 
-    def join(self, node: str, zone: str, usual: float, held: dict, fresh: bool, front: Any = None) -> int:
+    def join(
+        self, node: str, zone: str, usual: float, held: dict, fresh: bool, front: Any = None, life: str = ""
+    ) -> int:
         """A proxy is there by this front; one that another front had is dropped there first."""
         proxy = self.proxy_of(node)
         before = self.fronts.get(proxy) if proxy is not None else None
@@ -79,6 +95,10 @@
         self.zones[proxy] = zone
         self.fronts[proxy] = front
         self.tables.join(proxy, zone, held)
+        usual_ms = self.record.fleet.proxies.report_every_ms
+        self.gatherer.joined(Account(proxy, zone, life, usual_ms, usual_ms), node)
+        self.intake.joined(proxy, self.now_ms)
+        self.moves.append(("joined", node, proxy, zone, life))
         self.incoming.streams.append((proxy, True, zone, usual, fresh))
         self.heard(self.now_ms)
         return proxy
@@ -88,6 +108,10 @@
         self.fronts.pop(proxy, None)
         self.tables.leave(proxy)
         self.channel.drop(proxy)
+        node = self.gatherer.names[proxy]
+        self.gatherer.left(node)
+        self.intake.left(proxy)
+        self.moves.append(("left", node))
         self.incoming.streams.append((proxy, False, "", 0.0, False))
         self.heard(self.now_ms)
 
@@ -95,24 +119,24 @@
         proxy = self.numbers.get(node)
         return proxy if proxy in self.zones else None
 
-    def report(self, proxy: int, cluster: str, covers_ms: float, arrived: int, unanswered: int) -> None:
-        place = self.places.get(cluster)
-        if place is not None:
-            self.intake.arrived(place, proxy, arrived, unanswered, covers_ms)
-
-    def tried(
-        self,
-        proxy: int,
-        host: str,
-        port: int,
-        tries: int,
-        failed: int,
-        good_ms: float,
-        load: dict[str, float],
-    ) -> None:
-        endpoint = self.endpoints.get((host, port))
-        if endpoint is not None:
-            self.intake.tried(self.zones[proxy], endpoint, tries, failed, good_ms, load)
+    def told(self, proxy: int, told: Told) -> None:
+        """A load report that came with the news."""
+        if self.by_inbox:
+            self.take_plain(proxy, told)
+        else:
+            self.gatherer.take(self.gatherer.names[proxy], told, self.now_ms, self.now_ms)
+
+    def take_plain(self, proxy: int, told: Told) -> None:
+        """As the first pilot did: all of it, whatever it says."""
+        for endpoint, good, failed, good_ms, load in told.rows:
+            figures = {} if load is None else {"util": load}
+            self.plain.tried(self.zones[proxy], endpoint, good + failed, failed, good_ms, figures)
+        for place, arrived, unanswered in told.arrivals:
+            self.plain.arrived(place, proxy, arrived, unanswered, told.covers_ms)
+
+    def gathered(self, found: dict[str, Any]) -> None:
+        """What another gatherer hands over."""
+        self.intake.take(found, self.now_ms)
 
     def probed(self, endpoint: int, answered: bool, took_ms: float, load: dict[str, float]) -> None:
         self.incoming.probes.append((endpoint, answered, took_ms, load))
@@ -125,33 +149,56 @@
         self.now_ms = now_ms
         for push in self.channel.leave(now_ms):
             self.tables.release(push.proxy, push.number)
+        if self.gatherer.due_ms() <= now_ms:
+            self.complain(self.gatherer.complaints)
+            self.gatherer.complaints = []
+            self.intake.take(self.gatherer.hand_over(now_ms), now_ms)
+        self.ask(self.intake.plan(now_ms) if not self.by_inbox else [])
         if receipts := self.tables.receipts():
             self.incoming.receipts += receipts
             self.heard(now_ms)
         if self.listed and self.due_ms() <= now_ms:
             self.round(now_ms)
 
+    def ask(self, asked: list[Asked]) -> None:
+        for each in asked:
+            self.gatherer.ask(each)
+        self.asked += asked
+
+    def complain(self, complaints: list) -> None:
+        """Say what was wrong with whose reports."""
+        for name, text in complaints:
+            self.log.warning("load report doubted", proxy=name, reason=text)
+        for proxy in sorted(self.intake.bounded):
+            name = self.gatherer.names.get(proxy, "")
+            self.log.warning(
+                "load report doubted", proxy=name, reason="tells of more than its part of all traffic"
+            )
+        self.intake.bounded.clear()
+
     def due_ms(self) -> float:
         """When the next round is due."""
         if not self.listed:
             return float("inf")
         due = self.wakes[0][0] if self.wakes else float("inf")
-        due = min(due, self.intake.due_ms())
+        due = min(due, self.plain.due_ms(), self.intake.due_ms())
         if self.news_ms is not None:
             due = min(due, self.news_ms + self.record.gather_ms)
         return due
 
     def next_ms(self) -> float:
         """When `step` has something to do next."""
-        return min(self.due_ms(), self.channel.next_ms())
+        due = min(self.due_ms(), self.channel.next_ms(), self.gatherer.due_ms())
+        return due if self.by_inbox else min(due, self.intake.plan_ms())
 
     def round(self, now_ms: float) -> None:
         while self.wakes and self.wakes[0][0] <= now_ms:
             heapq.heappop(self.wakes)
         incoming, self.incoming, self.news_ms = self.incoming, Incoming(0.0), None
         incoming.now_ms = now_ms
-        if self.intake.due_ms() <= now_ms:
-            incoming.sums, incoming.arrivals = self.intake.hand_over(now_ms)
+        intake = self.plain if self.by_inbox else self.intake
+        if intake.due_ms() <= now_ms:
+            incoming.sums, incoming.arrivals = intake.hand_over(now_ms)
             incoming.arrivals = [row for row in incoming.arrivals if row[1] in self.zones]
         self.tables.begin()
         for endpoint, host, port in self.placed:
--- a/quillstep/pilot/decide.py
+++ b/quillstep/pilot/decide.py
@@ -41,6 +41,8 @@
             self.core.heard(now_ms)
         elif news[0] == "probe":
             self.core.probed(*news[1:])
+        elif news[0] == "reports":
+            self.core.gathered(news[2])
         elif news[0] == "files":
             if self.files:
                 self.files.take(news, now_ms)
@@ -57,4 +59,3 @@
     def next_ms(self) -> float:
         """When a turn has something to do without any news."""
         return min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
-
--- a/quillstep/pilot/intake.py
+++ b/quillstep/pilot/intake.py
@@ -1,4 +1,7 @@
-"""Gathers what proxies report between two rounds.  Without I/O and clocks."""
+"""The first pilot's intake, kept as the baseline that `reports.by: "inbox"` brings back.  Without I/O and clocks.
+
+Reports come with all other news and add up until the next hand-over; nothing is aged, bounded, sampled or told apart.
+"""
 
 from dataclasses import dataclass, field
 
@@ -13,7 +16,7 @@
     load: dict[str, float] = field(default_factory=dict)
 
 
-class Intake:
+class PlainIntake:
     """Sums by zone and endpoint, handed over once a period, as one figure each; arrivals as they come."""
 
     def __init__(self, period_ms: float) -> None:
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -1,25 +1,31 @@
 """One pilot as a process: the deciding thread, its inbox, and what carries news to it and orders from it."""
 
 import os
-import queue
 import threading
 import time
 from typing import Any
 
 import msgspec
 import structlog
+from hdrh.histogram import HdrHistogram
 
 from quillstep.capture.writer import Capture
 from quillstep.pilot.decide import Decider
+from quillstep.pilot.lanes import Lanes
 from quillstep.pilot.probes import Prober
 from quillstep.pilot.roster import RosterClient
 from quillstep.pilot.tell import Teller
+from quillstep.reports.processes import Processes
+from quillstep.reports.reader import ThreadReader
 from quillstep.settings import PilotRecord
 from quillstep.xds.peer import STACK_BYTES
 from quillstep.xds.server import Server
 
 BATCH = 512  # pieces of news between two looks at the channel
+SUMS_MOST = 64  # windows of sums that may wait for the deciding thread
 IDLE_S = 0.5
+SAY_MS = 10000.0  # between two lines on what was read of load reports
+LATE_MOST = 600_000  # tenths of a millisecond that the histogram of rounds reaches to
 
 
 class SocketRecord:
@@ -47,7 +53,7 @@
     def __init__(self, record: PilotRecord) -> None:
         threading.stack_size(STACK_BYTES)
         self.record = record
-        self.inbox: queue.Queue[tuple[float, tuple]] = queue.Queue(record.limits.news_most)
+        self.lanes = Lanes(record.limits.news_most, SUMS_MOST)
         self.socket_record = SocketRecord(record.record)
         self.epoch = f"{record.name}-{os.getpid()}"
         self.decider = Decider(record, self.epoch, self.tap, self.put)
@@ -63,15 +69,31 @@
                 record.model_dump(),
                 record.capture.segment_bytes,
             )
-        self.server = Server(record.listen, record.limits, self.put)
+        self.reader: ThreadReader | None = None
+        self.processes: Processes | None = None
+        if record.reports.by == "thread":
+            self.reader = ThreadReader(record.reports, record.fleet, self.put_sums)
+        elif record.reports.by == "processes":
+            self.processes = Processes(record, self.put_sums)
+            self.processes.start()
+        self.server = Server(record.listen, record.limits, self.put, self.reader)
         self.decider.streams.server = self.server
         self.prober = Prober(record.fleet.probes.at_once, record.fleet.probes.timeout_ms, self.put)
         self.stopping = False
+        self.late = HdrHistogram(
+            1, LATE_MOST, 2
+        )  # of rounds behind the time they were due, tenths of a millisecond
+        self.said_ms = 0.0
+        self.cpu_s: dict[str, dict[str, float]] = {}  # of readers, by part
         self.log = structlog.get_logger("pilot")
 
     def put(self, news: tuple) -> None:
-        """Hand news to the deciding thread; blocks while its inbox is full."""
-        self.inbox.put((self.now_ms(), news))
+        """Hand news to the deciding thread; blocks while its lane is full."""
+        self.lanes.put((self.now_ms(), news))
+
+    def put_sums(self, news: tuple) -> None:
+        """Hand over what came of load reports; it is taken after all news."""
+        self.lanes.put_sums((self.now_ms(), news))
 
     def tap(self, what: str, at_ms: float, **fields: Any) -> None:
         self.socket_record.tap(what, at_ms, **fields)
@@ -82,6 +104,8 @@
         """Decide until `stop`; one round's failure is logged with its cause and ends the process."""
         offset_ms = self.now_ms() - time.time() * 1000.0
         self.server.start()
+        if self.reader:
+            threading.Thread(target=self.reader.run, daemon=True).start()
         if self.decider.files:
             self.decider.files.start()
         self.roster = RosterClient(
@@ -90,9 +114,11 @@
         self.log.info("pilot ready", pilot=self.record.name, address=self.server.address)
         while not self.stopping:
             self.turn()
+        self.say()
         self.server.stop()
-        if self.decider.files:
-            self.decider.files.stop()
+        for part in (self.reader, self.processes, self.decider.files):
+            if part:
+                part.stop()
         self.socket_record.flush()
         if self.capture:
             self.capture.close()
@@ -105,15 +131,15 @@
     def turn(self) -> None:
         """Wait for news or for what is due next, take it in, decide, send."""
         wait_s = (self.decider.next_ms() - self.now_ms()) / 1000.0
-        try:
-            first = self.inbox.get(timeout=min(IDLE_S, wait_s)) if wait_s > 0 else self.inbox.get_nowait()
-            self.take(*first)
-            for _ in range(BATCH):
-                self.take(*self.inbox.get_nowait())
-        except queue.Empty:
-            pass
+        if wait_s > 0:
+            self.lanes.wait(min(IDLE_S, wait_s))
+        for entry in self.lanes.take(BATCH):
+            self.take(*entry)
         now = self.now_ms()
         rounds = self.core.rounds
+        due = self.core.due_ms()
+        if due <= now:
+            self.late.record_value(max(1, min(LATE_MOST, round(10.0 * (now - due)))))
         self.decider.turn(now)
         if self.capture:
             full = [self.teller.number(peer) for peer in self.decider.streams.full]
@@ -124,12 +150,37 @@
         for endpoint, host, port in self.core.probes:
             self.prober.ask(endpoint, host, port)
         self.core.probes = []
+        self.tell()
         self.socket_record.flush()
+        if now - self.said_ms > SAY_MS:
+            self.said_ms = now
+            self.say()
+
+    def tell(self) -> None:
+        """Pass on who joined and left, and what proxies are asked for."""
+        moves, asked = self.core.moves, self.core.asked
+        self.core.moves, self.core.asked = [], []
+        if self.reader:
+            self.reader.tell(moves, asked)
+        elif self.processes and (moves or asked):
+            self.processes.tell(moves, asked, self.core.gatherer.names)
+
+    def say(self) -> None:
+        """How reports and rounds went so far; what is counted runs from the start."""
+        late = {f"p{part:g}": self.late.get_value_at_percentile(part) / 10.0 for part in (50.0, 99.0)}
+        late["worst"] = self.late.get_max_value() / 10.0 if self.late.get_total_count() else 0.0
+        names = [row.name for row in self.record.fleet.classes]
+        self.log.info(
+            "reports read", rounds=self.core.rounds, rounds_late_ms=late, **self.core.intake.summary(names),
+            cpu_s={**self.cpu_s, "deciding": round(time.thread_time(), 3), "process": round(time.process_time(), 3)},
+        )  # fmt: skip
 
     def take(self, arrived_ms: float, news: tuple) -> None:
         if news[0] == "stop":
             self.stopping = True
             return
+        if news[0] == "reports":
+            self.cpu_s[f"reader {news[1]}"] = news[2].pop("cpu_s", {})
         now = self.now_ms()
         if self.capture:
             self.capture.put(self.teller.record(news, arrived_ms, now))
--- a/quillstep/pilot/tell.py
+++ b/quillstep/pilot/tell.py
@@ -49,4 +49,3 @@
     hello, newest, holds, contents = told
     made = {tuple(key): Content(version, tuple(what)) for key, version, what in contents}
     return Parked(msgspec.convert(hello, Hello), newest, holds, made)
-
--- a/quillstep/replay/daybook.py
+++ b/quillstep/replay/daybook.py
@@ -13,8 +13,8 @@
 import msgspec
 from envoy.service.load_stats.v3 import lrs_pb2
 
-from quillstep.capture import Life, lives, read_life
-from quillstep.settings import PilotRecord, check_older
+from quillstep.capture import Life, lives, read_life, record_of
+from quillstep.settings import PilotRecord
 from quillstep.xds.server import LOAD
 
 CLOCKS_MS = 50.0  # up to which clocks count as one
@@ -32,9 +32,9 @@
     streams: list[tuple[float, str, str, dict[str, Any]]] = field(
         default_factory=list
     )  # at, join or leave, proxy
-    reports: list[tuple[float, str]] = field(
+    reports: list[tuple[float, str, float]] = field(
         default_factory=list
-    )  # when a load report of which proxy was taken in
+    )  # when a load report of which proxy came, and how old its sums were then
     delays: dict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
     )  # from send to word, by proxy
@@ -105,10 +105,11 @@
 
 def pilot_life(life: Life, shift_ms: float = 0.0) -> PilotLife:
     """Roster news, streams, report times and message delays of one life, late as they were."""
-    record = check_older(PilotRecord, life.header.settings)
+    record = record_of(life.header)
     found = PilotLife(life.header.epoch, record, life.first_ms + shift_ms, life.last_ms + shift_ms)
     sent: dict[tuple[str, str], float] = {}
     nodes: dict[tuple[int, int], str] = {}
+    names: list[str] = []  # of proxies, by the numbers that they got as they first joined
     for row in read_life(life):
         kind, taken = row[0], row[2] + shift_ms
         if kind == "roster":
@@ -117,6 +118,8 @@
             found.roster.append((taken, row[3], entries, addresses))
         elif kind == "sent":
             what, fields = row[3], row[4]
+            if what == "join" and fields["proxy"] not in names:
+                names.append(fields["proxy"])
             if what in ("join", "leave"):
                 found.streams.append((taken, what, fields["proxy"], fields))
             elif what == "send":
@@ -124,7 +127,10 @@
             elif what in ("ack", "nack") and (fields["proxy"], fields["nonce"]) in sent:
                 found.delays[fields["proxy"]].append(taken - sent.pop((fields["proxy"], fields["nonce"])))
         elif kind == "files" and row[3] == "load":
-            found.reports.append((taken, row[4]))
+            found.reports.append((taken, row[4], 0.0))
+        elif kind == "reports":
+            for proxy, arrived, until, *_ in row[4]["heard"]:
+                found.reports.append((arrived + shift_ms, names[proxy], max(0.0, arrived - until)))
         elif kind == "open":
             if row[5] == LOAD:
                 nodes[row[3], row[4]] = ""
@@ -139,6 +145,6 @@
     """Remember when load reports came: a report stream's first request names its node, later ones are reports."""
     at = (row[3], row[4])
     if nodes[at]:
-        found.reports.append((taken, nodes[at]))
+        found.reports.append((taken, nodes[at], 0.0))
     else:
         nodes[at] = lrs_pb2.LoadStatsRequest.FromString(row[6]).node.id
--- a/quillstep/replay/faithful.py
+++ b/quillstep/replay/faithful.py
@@ -11,11 +11,11 @@
 import msgspec
 import xxhash
 
-from quillstep.capture.format import Header, Record
+from quillstep.capture import Header, Record, record_of
 from quillstep.files.disk import Disk
 from quillstep.pilot.decide import Decider
 from quillstep.pilot.tell import parked_of
-from quillstep.settings import PilotRecord, check_older
+from quillstep.settings import PilotRecord
 from quillstep.xds.server import REQUESTS
 
 CAUSES_MOST = 12
@@ -71,7 +71,7 @@
     """One life played again; `change` makes another record of the settings, for orders that may then differ."""
 
     def __init__(self, header: Header, record: PilotRecord | None = None) -> None:
-        self.record = record or check_older(PilotRecord, header.settings)
+        self.record = record or record_of(header)
         self.decider = Decider(self.record, header.epoch, self.tap, self.never, PlayedDisk())
         self.decider.streams.server = PlayedServer()  # type: ignore[assignment]
         self.core = self.decider.core
@@ -153,7 +153,7 @@
                 self.peer(number).is_full = number in full
             self.full = full
         self.decider.turn(now_ms)
-        self.core.probes = []
+        self.core.probes, self.core.moves, self.core.asked = [], [], []
         if self.decider.files:
             while not self.decider.files.jobs.empty():
                 job = self.decider.files.jobs.get()
--- a/quillstep/replay/model.py
+++ b/quillstep/replay/model.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from quillstep.pilot.core import Core
 from quillstep.replay.infer import NET_MS, Inferred
+from quillstep.reports.guard import Told
 from quillstep.settings import ClassRecord, FleetRecord
 from quillstep.tables import Change
 from quillstep.tables.content import LINE, OUT, POOL, ROUTES, SHARE
@@ -148,6 +148,7 @@
         self.sums: dict[str, list[float]] = {}  # tries, failed, good_ms
         self.came: dict[int, list[int]] = {}
         self.reported_ms = day.clock.now
+        self.reports = 0
 
     def apply(self, changes: list[Change]) -> None:
         for key, want in changes:
@@ -298,22 +299,20 @@
             self.avoids[address] = now + knobs.avoid_ms
             self.fails[address] = 0
 
-    def report(self, core: Core) -> None:
-        """Hand its sums over, at the moment at which a report of its came then."""
-        proxy = core.proxy_of(self.name)
-        if proxy is None:
-            return
+    def hand_over(self) -> Told:
+        """Its sums, at the moment up to which a report of its told then; they start anew."""
         now = self.day.clock.now
         covers, self.reported_ms = now - self.reported_ms, now
         sums, came = self.sums, self.came
         self.sums, self.came = {}, {}
+        self.reports += 1
+        told = Told(self.reports, now, now, covers, 0)
         for address, (tries, failed, good_ms) in sums.items():
-            host, _, port = address.rpartition(":")
             known = self.day.by_address[address]
-            load = {} if self.day.fleet.probes.load_only_here else known.load(now)
-            core.tried(proxy, host, int(port), int(tries), int(failed), good_ms, load)
-        for place, (arrived, unanswered) in came.items():
-            core.report(proxy, self.day.classes[place].name, covers, arrived, unanswered)
+            load = None if self.day.fleet.probes.load_only_here else known.load(now)["util"]
+            told.rows.append((known.number, int(tries - failed), int(failed), good_ms, load))
+        told.arrivals = [(place, arrived, unanswered) for place, (arrived, unanswered) in came.items()]
+        return told
 
 
 class VirtualDay:
--- a/quillstep/replay/whatif.py
+++ b/quillstep/replay/whatif.py
@@ -17,6 +17,7 @@
 from quillstep.replay.daybook import Daybook, PilotLife
 from quillstep.replay.infer import Inferred, held_out_error, infer, tries_of
 from quillstep.replay.model import Endpoint, Proxy, VirtualDay
+from quillstep.reports.guard import Told
 from quillstep.rulecheck import Evidence, judge
 from quillstep.settings import ClassRecord, PilotRecord, changed
 from quillstep.tables.content import ENTRY
@@ -94,8 +95,8 @@
             clock.at(at, self.roster, kind, entries, addresses)
         for at, what, proxy, fields in life.streams:
             clock.at(at, self.join if what == "join" else self.leave, proxy, fields)
-        for at, proxy in life.reports:
-            clock.at(at, self.report, proxy)
+        for at, proxy, late_ms in life.reports:
+            clock.at(at - late_ms, self.report, proxy, at)
         clock.at(life.last_ms, self.end)
 
     def delay(self, name: str) -> float:
@@ -142,9 +143,17 @@
             self.core.leave(number)
             self.poke()
 
-    def report(self, name: str) -> None:
-        if proxy := self.day.proxies.get(name):
-            proxy.report(self.core)
+    def report(self, name: str, at: float) -> None:
+        """A proxy's sums up to now leave it, and arrive as late as they did then."""
+        proxy = self.day.proxies.get(name)
+        if proxy and self.core.proxy_of(name) is not None:
+            self.day.clock.at(at, self.reported, name, proxy.hand_over(), at)
+
+    def reported(self, name: str, told: Told, at: float) -> None:
+        number = self.core.proxy_of(name)
+        if number is not None and not self.ended:
+            told.sent_ms = self.core.now_ms = at
+            self.core.told(number, told)
             self.poke()
 
     # time
@@ -167,7 +176,7 @@
             if known := self.day.endpoints.get(endpoint):
                 answered, took, load = known.probed(now, self.core.record.fleet.probes.timeout_ms)
                 self.day.clock.at(now + took, self.probed, endpoint, answered, took, load)
-        self.core.probes = []
+        self.core.probes, self.core.moves, self.core.asked = [], [], []
         self.schedule(max(now + 0.05, self.decider.next_ms()))
 
     def probed(self, endpoint: int, answered: bool, took: float, load: dict[str, float]) -> None:
--- a/quillstep/settings/__init__.py
+++ b/quillstep/settings/__init__.py
@@ -11,6 +11,7 @@
     LimitsRecord,
     PilotRecord,
     ProxyRecord,
+    ReportsRecord,
     RulesRecord,
     TroubleRecord,
     changed,
@@ -22,6 +23,6 @@
 
 __all__ = [
     "ChannelRecord", "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FilesRecord", "FleetRecord",
-    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "RulesRecord", "TroubleRecord", "changed",
+    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "ReportsRecord", "RulesRecord", "TroubleRecord", "changed",
     "check_older", "load", "parse_changes", "read", "start_facts",
 ]  # fmt: skip
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -115,6 +115,21 @@
     segment_bytes: Annotated[int, Field(ge=4096)] = 32 * 2**20
 
 
+class ReportsRecord(Record):
+    """How load reports are read: see docs/reports.md."""
+
+    by: Literal["inbox", "thread", "processes"] = (
+        "thread"  # `inbox` is the first pilot's way, kept as a baseline
+    )
+    listen: list[Address] = []  # where report streams dial, a process for each; only with `processes`
+    work_per_s: Positive = 60000.0  # that one thread or process may spend, in rows of reports
+    window_ms: Positive = 200.0  # between two hand-overs to the deciding thread
+    rows_most: Annotated[int, Field(ge=1)] = 4096  # of one report
+    message_most_bytes: Annotated[int, Field(ge=1024)] = 512 * 2**10
+    ageing: bool = True  # old sums weigh less
+    sampling: bool = True  # under pressure not all proxies report in full
+
+
 class ProbeRecord(Record):
     """Health checks of endpoints."""
 
@@ -148,6 +163,7 @@
     fleet: FleetRecord
     limits: LimitsRecord = LimitsRecord()
     files: FilesRecord = FilesRecord()
+    reports: ReportsRecord = ReportsRecord()
     capture: CaptureRecord = CaptureRecord()
     record: str = ""  # a file for what passed on this pilot's sockets
 
@@ -181,10 +197,12 @@
     what: Literal[
         "stall", "slow", "fail", "silent", "die", "drain", "lose_answers", "zone_loss", "join",
         "proxy_stall", "proxy_refuses", "proxy_reads_nothing", "pilot_kill", "pilot_stall", "proxy_moves",
+        "proxy_cut", "reports_late", "reports_heavy", "reports_cut",
     ]  # fmt: skip
     zone: str = ""
     count: Annotated[int, Field(ge=1)] = 1
-    factor: Positive = 4.0  # of `slow`; the part of answers lost or failed is 1 / factor below
+    # Of `slow`; `reports_late`: seconds; the part of answers lost or failed is 1 / factor below.
+    factor: Positive = 4.0
 
 
 class DayRecord(Record):
@@ -196,6 +214,7 @@
     warm_up_s: NotBelow0 = 3.0  # before the first exchange: streams join, tables arrive
     fleet: FleetRecord
     limits: LimitsRecord = LimitsRecord()
+    reports: ReportsRecord = ReportsRecord()
     endpoints: Annotated[list[EndpointKind], Field(min_length=1)]
     reserves: Count = 0  # endpoints a zone of the first kind that only `join` starts
     proxies: Annotated[int, Field(ge=1)]
@@ -300,6 +319,10 @@
     for at, trouble in enumerate(getattr(record, "troubles", [])):
         if trouble.zone and trouble.zone not in zones:
             _wrong(origin, f"troubles.{at}.zone", shown(trouble.zone), "one of " + ", ".join(sorted(zones)))
+    reports = getattr(record, "reports", None)
+    if reports is not None and (reports.by == "processes") != bool(reports.listen):
+        found = f"{len(reports.listen)} with by: {shown(reports.by)}"
+        _wrong(origin, "reports.listen", found, 'one address a process with by: "processes", else none')
     zone = getattr(record, "zone", "")
     if zone and zone not in zones:
         _wrong(origin, "zone", shown(zone), "one of " + ", ".join(sorted(zones)))
--- a/quillstep/standins/follow.py
+++ b/quillstep/standins/follow.py
@@ -15,7 +15,6 @@
 from envoy.config.route.v3 import route_pb2
 from envoy.extensions.filters.http.local_ratelimit.v3 import local_rate_limit_pb2
 from envoy.service.discovery.v3 import discovery_pb2
-from envoy.service.load_stats.v3 import lrs_pb2
 from google.protobuf.message import DecodeError
 
 from quillstep.standins.process import now_ms
@@ -28,6 +27,7 @@
 
 LINE_MS = 0.04  # that a proxy stands still for a line
 SILENT_MS = 12000.0
+CUT_SPREAD_MS = 1000.0  # over which proxies that were cut off come back
 Line = tuple[tuple[str, int], float, str]  # address, weight, version
 
 
@@ -89,8 +89,21 @@
             for row in rows}  # fmt: skip
 
 
+class SharedStream:
+    """A load report stream on the connection that the tables come by."""
+
+    def __init__(self, client: GrpcClient) -> None:
+        self.client, self.number = client, client.open(LOAD)
+
+    def unsent(self) -> int:
+        return self.client.peer.unsent()
+
+    def send(self, data: bytes) -> None:
+        self.client.send(self.number, data)
+
+
 class Follower:
-    """What both kinds share: dialling, standing still, refusing, load reports."""
+    """What both kinds share: dialling, standing still, refusing, where load reports go."""
 
     path = DELTA
 
@@ -98,8 +111,10 @@
         self.proxy, self.pilots = proxy, pilots
         self.held = proxy.held
         self.client: GrpcClient | None = None
-        self.stream = self.load_stream = 0
-        self.stalled_ms = self.refuses_ms = 0.0
+        self.stream = 0
+        self.load_stream: SharedStream | None = None
+        self.pilot = ""
+        self.stalled_ms = self.refuses_ms = self.cut_ms = 0.0
         self.dials = 0
         self.ended = threading.Event()
 
@@ -117,16 +132,21 @@
     def run(self) -> None:
         dial_ms = self.proxy.host.proxies["dial_ms"]
         while not self.ended.is_set():
+            if (left := self.cut_ms - now_ms()) > 0:
+                self.ended.wait((left + CUT_SPREAD_MS * self.proxy.draw()) / 1000.0)
+                continue
             pilot = self.pilots[self.dials % len(self.pilots)]
             reason = ""
             try:
                 self.client = GrpcClient(pilot, 1000.0, SILENT_MS)
                 self.client.inbox.maxsize = 8  # what it does not take stays with its pilot
                 self.record(what="stream", up=True, pilot=pilot)
+                self.pilot = pilot
                 self.follow(self.client)
                 reason = self.client.reason
             except (OSError, DecodeError) as trouble:
                 reason = str(trouble)
+            self.pilot, self.load_stream = "", None
             if self.client:
                 self.client.close()
                 self.client = None
@@ -140,14 +160,14 @@
     def follow(self, client: GrpcClient) -> None:
         self.stream = client.open(self.path)
         self.begin(client)
-        self.load_stream = client.open(LOAD)
-        opening = lrs_pb2.LoadStatsRequest()
-        self.node(opening.node)
-        client.send(self.load_stream, opening.SerializeToString())
+        if self.report_address() is None:
+            self.load_stream = SharedStream(client)
         for event in client.events():
             self.wait()
             if event[0] == "message" and event[1] == self.stream:
                 self.message(client, event[2])
+            elif event[0] == "message":
+                self.proxy.reporter.asked(event[2])
             elif event[0] == "end" and event[1] == self.stream:
                 raise OSError(event[3] or "the pilot ended the stream")
 
@@ -155,10 +175,16 @@
         while (left := self.stalled_ms - now_ms()) > 0:
             time.sleep(left / 1000.0)
 
-    def node(self, node: Any) -> None:
-        node.id = self.proxy.name
-        node.locality.zone = self.proxy.zone
-        node.metadata.fields["usual"].number_value = self.proxy.usual
+    def report_address(self) -> str | None:
+        """Where load reports go, if not by this connection."""
+        addresses = self.proxy.row["reports"].get(self.pilot)
+        return self.proxy.reporter.address_of(addresses) if addresses else None
+
+    def cut(self, until_ms: float) -> None:
+        """As if the network to all pilots were gone until then."""
+        self.cut_ms = until_ms
+        if self.client:
+            self.client.close()
 
     def begin(self, client: GrpcClient) -> None:
         raise NotImplementedError
@@ -170,40 +196,6 @@
         with self.proxy.lock:
             time.sleep(LINE_MS * lines / 1000.0)
 
-    def report(self) -> None:
-        """One load report with all sums since the last; without a stream they wait and add up."""
-        client = self.client
-        if client is not None and self.load_stream and self.stalled_ms <= now_ms():
-            client.send(self.load_stream, load_report(self.proxy).SerializeToString())
-
-
-def load_report(proxy: "Proxy") -> lrs_pb2.LoadStatsRequest:
-    """What a proxy met since its last report, which starts anew."""
-    sums, came, covers_ms = proxy.hand_over()
-    request = lrs_pb2.LoadStatsRequest()
-    named = set(came) | ({next(iter(proxy.host.classes))} if sums else set())
-    for place, name in enumerate(sorted(named)):
-        stats = request.cluster_stats.add(cluster_name=name)
-        stats.load_report_interval.FromNanoseconds(round(covers_ms * 1e6))
-        locality = stats.upstream_locality_stats.add()
-        locality.locality.zone = proxy.zone
-        arrived, unanswered, refused = came.get(name, (0, 0, 0))
-        stats.total_dropped_requests = refused
-        for metric, count in (("arrived", arrived), ("unanswered", unanswered)):
-            row = locality.load_metric_stats.add(metric_name=metric)
-            row.num_requests_finished_with_metric, row.total_metric_value = count, count
-        for address, (good, failed, good_ms, load) in sums.items() if place == 0 else ():
-            told = locality.upstream_endpoint_stats.add()
-            told.address.socket_address.address, told.address.socket_address.port_value = address
-            told.total_successful_requests, told.total_error_requests = good, failed
-            told.total_issued_requests = good + failed
-            met = {"took_ms": [good, good_ms]}
-            met.update({"util" if n == "cpu_utilization" else n: v for n, v in load.items()})
-            for metric, (count, total) in met.items():
-                row = told.load_metric_stats.add(metric_name=metric, total_metric_value=total)
-                row.num_requests_finished_with_metric = count
-    return request
-
 
 class DeltaFollower(Follower):
     """Follows by deltas: subscribes to what its tables name, keeps versions over a broken stream."""
@@ -211,7 +203,7 @@
     def begin(self, client: GrpcClient) -> None:
         versions = self.held.versions
         first = self.request(CDS, [])
-        self.node(first.node)
+        self.proxy.describe(first.node)
         first.initial_resource_versions.update(versions.get(CDS, {}))
         tables = list(versions.get(CDS, {}))
         out = [WITHDRAWN, *(f"{COLLECTION}{table}/*" for table in tables)]
@@ -349,7 +341,7 @@
             request = discovery_pb2.DiscoveryRequest(type_url=url, resource_names=names)
             request.version_info = self.newest.get(url, ("", ""))[0]
             if at == 0:
-                self.node(request.node)
+                self.proxy.describe(request.node)
             client.send(self.stream, request.SerializeToString())
         self.ask_lines(client)
 
--- a/quillstep/standins/follow_files.py
+++ b/quillstep/standins/follow_files.py
@@ -18,7 +18,7 @@
 
 from quillstep.files.disk import safe_name
 from quillstep.files.pack import MANIFEST, Manifest, decode
-from quillstep.standins.follow import LINE_MS, MESSAGES, drops_of, line_of, load_report, routes_of
+from quillstep.standins.follow import LINE_MS, MESSAGES, drops_of, line_of, routes_of
 from quillstep.standins.process import now_ms
 from quillstep.xds.resources import CDS, COLLECTION, EDS, LEDS, RDS
 
@@ -31,6 +31,28 @@
 GONE = (health_check_pb2.DRAINING, health_check_pb2.UNHEALTHY)
 
 
+def put(path: Path, data: bytes) -> None:
+    """Write a file whole."""
+    new = path.with_suffix(".new")
+    new.write_bytes(data)
+    os.replace(new, path)
+
+
+class ReportFiles:
+    """Where load reports go, a file each."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.count = folder, 0
+
+    @staticmethod
+    def unsent() -> int:
+        return 0
+
+    def send(self, data: bytes) -> None:
+        self.count += 1
+        put(self.folder / f"{time.time_ns():020d}-{self.count % 1000:03d}.pb", data)
+
+
 class FileFollower:
     """One proxy's way with files; `roots` are its pilots' roots in the sequence of dialling."""
 
@@ -40,10 +62,9 @@
         self.stalled_ms = self.refuses_ms = 0.0
         self.late_ms = proxy.host.proxies["dial_ms"] * 0.1
         self.ended = threading.Event()
-        self.here: Path | None = None  # its directory below the root it follows
+        self.load_stream: ReportFiles | None = None  # below the root it follows
         self.done = 0  # the newest generation it has answered
         self.accepted: dict[str, int] = {}  # generation by root
-        self.reports = 0
         self.dials = 0
 
     def start(self) -> None:
@@ -81,9 +102,9 @@
                  "generation": 0, "versions": self.held.versions}  # fmt: skip
         if generation and generation == self.done:
             hello.update(generation=generation)
-        self.put(here / "hello.json", msgspec.json.encode(hello))
+        put(here / "hello.json", msgspec.json.encode(hello))
         self.record(what="stream", up=True, pilot=root)
-        self.here = here
+        self.load_stream = ReportFiles(here / "load")
         link = f"{here}/current"
         for look in itertools.count():
             if self.ended.wait(LOOK_S) or (look % ALIVE_EVERY == 0 and not self.alive(root)):
@@ -94,19 +115,13 @@
             if self.current(link) != self.done:
                 self.ended.wait(self.late_ms * self.proxy.draw() / 1000.0)
                 self.look(root, here)
-        self.here = None
+        self.load_stream = None
         with contextlib.suppress(OSError):
             (here / "hello.json").unlink()
         self.record(
             what="stream", up=False, pilot=root, reason="left it" if self.ended.is_set() else "silent"
         )
 
-    @staticmethod
-    def put(path: Path, data: bytes) -> None:
-        """Write a file whole."""
-        new = path.with_suffix(".new")
-        new.write_bytes(data)
-        os.replace(new, path)
 
     @staticmethod
     def current(link: str) -> int:
@@ -155,7 +170,7 @@
             self.record(what="applied", **note)
             self.proxy.applied()
         self.done = told.generation
-        self.put(here / "ack.json", msgspec.json.encode(answer))
+        put(here / "ack.json", msgspec.json.encode(answer))
 
     def apply(self, resources: list[tuple[str, str, str, Any]], versions: dict[str, dict[str, str]]) -> None:
         """All of a generation in place of all that was held."""
@@ -179,13 +194,11 @@
         held.routes, held.routes_version = routes, routes_version
         held.versions = versions
 
-    def report(self) -> None:
-        here = self.here
-        if here is None or self.stalled_ms > now_ms():
-            return
-        self.reports += 1
-        with contextlib.suppress(OSError):
-            self.put(here / "load" / f"{self.reports:09d}.pb", load_report(self.proxy).SerializeToString())
+    def report_address(self) -> None:
+        """Load reports go to files here."""
+
+    def cut(self, until_ms: float) -> None:
+        self.stalled_ms = until_ms
 
 
 def read_resources(files: dict[str, bytes]) -> list[tuple[str, str, str, Any]]:
--- a/quillstep/standins/proxies.py
+++ b/quillstep/standins/proxies.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import os
 import queue
 import random
 import socket
@@ -18,6 +19,7 @@
 from quillstep.standins.follow import DeltaFollower, Follower, Held, SotwFollower
 from quillstep.standins.follow_files import FileFollower
 from quillstep.standins.process import STACK_BYTES, Record, answer, first_command, now_ms, serve
+from quillstep.standins.reporting import Reporter, bucket
 
 WORKERS_MOST = 600
 Address = tuple[str, int]
@@ -74,6 +76,21 @@
                     sock.close()
 
 
+class Met:
+    """What one class met at a proxy since its last report: arrived, unanswered, refused; times by bucket."""
+
+    __slots__ = ("counts", "took")
+
+    def __init__(self) -> None:
+        self.counts = [0, 0, 0]
+        self.took: dict[int, tuple[int, float]] = {}  # count and summed time
+
+    def answered(self, took_ms: float) -> None:
+        at = bucket(took_ms)
+        count, total = self.took.get(at, (0, 0.0))
+        self.took[at] = (count + 1, total + took_ms)
+
+
 class Proxy:
     """One proxy: its tables, what it avoids, its sums since the last report."""
 
@@ -94,9 +111,11 @@
         self.connections = Connections(host.proxies["idle_ms"], host.proxies["connect_ms"])
         self.stalled_ms = 0.0
         self.sums: dict[Address, list] = {}  # good, failed, good_ms, load sums by name
-        self.came: dict[str, list[int]] = {}  # arrived, unanswered, refused
+        self.came: dict[str, Met] = {}
         self.reported_ms = now_ms()
         self.row = row
+        self.life = f"{self.name}.{os.getpid()}.{self.draw():.6f}"
+        self.reporter = Reporter(self)
         self.by_files = bool(row.get("files"))
         self.follower: Follower | FileFollower | None = self.follow() if row["pilots"] else None
 
@@ -114,6 +133,16 @@
             self.follower = self.follow()
             self.follower.start()
 
+    def describe(self, node: Any) -> None:
+        """Who this is, in a first request."""
+        node.id, node.locality.zone = self.name, self.zone
+        node.metadata.fields["usual"].number_value = self.usual
+        node.metadata.fields["life"].string_value = self.life
+
+    def met(self, name: str) -> Met:
+        """A class's sums; under the lock."""
+        return self.came.setdefault(name, Met())
+
     # tables
 
     def lines(self, name: str) -> tuple[str, dict[str, tuple[Address, float, str]]]:
@@ -177,15 +206,16 @@
     def carry(self, at: float, name: str, exchange: str) -> None:
         """One exchange from its arrival to its end."""
         row = self.host.classes[name]
-        came = self.came.setdefault(name, [0, 0, 0])
-        came[0] += 1
+        with self.lock:
+            self.met(name).counts[0] += 1
         begun = now_ms()
         if self.stalled_ms > begun:
             time.sleep((self.stalled_ms - begun) / 1000.0)
         until = at + row["cut_off_ms"]
         note = {"what": "exchange", "at": at, "proxy": self.name, "class": name, "exchange": exchange}
         if not self.lets_in(name):
-            came[2] += 1
+            with self.lock:
+                self.met(name).counts[2] += 1
             self.host.record.put(**note, end=now_ms(), outcome="refused", tries=[])
             return
         route = self.held.routes.get(name)
@@ -215,8 +245,11 @@
             # No further try where little time is left or where nothing proves what the way of trying asks for.
             if not again or now_ms() + 0.1 * row["agreed_ms"] > until or (tries_left == 1 and not proof):
                 break
-        if outcome != "ok":
-            came[1] += 1
+        with self.lock:
+            if outcome == "ok":
+                self.met(name).answered(now_ms() - at)
+            else:
+                self.met(name).counts[1] += 1
         version = self.held.routes_version
         self.host.record.put(
             **note, end=now_ms(), outcome=outcome, tries=tried, mode=tries_left, routes=version
@@ -281,7 +314,7 @@
                 held[0] += 1
                 held[1] += value
 
-    def hand_over(self) -> tuple[dict[Address, list], dict[str, list[int]], float]:
+    def hand_over(self) -> tuple[dict[Address, list], dict[str, Met], float]:
         """The sums since the last report, which start anew."""
         with self.lock:
             sums, came, since = self.sums, self.came, self.reported_ms
@@ -351,18 +384,16 @@
         return 2 if mode == 3 else 1 if mode else 0
 
     def report(self) -> None:
-        """Each proxy reports once a period, each at its own moment of it."""
+        """Each proxy reports once in the period it is asked for, each at its own moment of it."""
         period = self.proxies["report_every_ms"]
         proxies = list(self.all.values())
         due = [(now_ms() + period * at / max(1, len(proxies)), at) for at in range(len(proxies))]
         while due:
             at, place = due[0]
             time.sleep(max(0.0, at - now_ms()) / 1000.0)
-            heapq.heapreplace(due, (at + period, place))
-            proxy = proxies[place]
-            if proxy.follower:
-                proxy.follower.report()
-            proxy.connections.sweep()
+            proxies[place].connections.sweep()
+            period = proxies[place].reporter.tick()
+            heapq.heapreplace(due, (max(at + period, now_ms()), place))
 
     def run(self, begin_ms: float) -> None:
         """Bring the script's exchanges at their times."""
@@ -397,8 +428,17 @@
             proxy.stalled_ms = until
         if do == "moves":
             threading.Thread(target=proxy.move, daemon=True).start()
+        elif do == "reports_late":
+            proxy.reporter.late_until, proxy.reporter.late_ms = until, 1000.0 * command["factor"]
+        elif do == "reports_heavy":
+            proxy.reporter.heavy_until = until
+        elif do == "reports_cut":
+            proxy.reporter.cut_until = until
         elif proxy.follower:
-            if do == "refuse":
+            if do == "cut":
+                proxy.follower.cut(until)
+                proxy.reporter.cut_until = until
+            elif do == "refuse":
                 proxy.follower.refuses_ms = until
             elif do in ("reads_nothing", "stall"):
                 proxy.follower.stalled_ms = until
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -14,7 +14,7 @@
 from quillstep.xds import resources
 from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
-from quillstep.xds.loads import Hooks, take_report
+from quillstep.xds.loads import Hooks, life_of, load_request, read_report
 from quillstep.xds.peer import Peer
 from quillstep.xds.server import DELTA, LOAD, SOTW, News, Server
 from quillstep.xds.sotw import SotwStream
@@ -62,7 +62,7 @@
         elif kind == "end":
             self.end(at, str(news[3]), now_ms)
         elif isinstance(news[3], lrs_pb2.LoadStatsRequest):
-            self.load(at, news[3])
+            self.load(at, news[3], news[4])
         elif at in self.streams:
             try:
                 self.request(at, news[3], now_ms)
@@ -103,7 +103,7 @@
             self.server.finish(*before, UNAVAILABLE, "the proxy dialled anew")
             self.end(before, "the proxy dialled anew", now_ms)
         usual = node.metadata.fields["usual"].number_value if "usual" in node.metadata.fields else 0.0
-        stream.proxy = self.hooks.join(node.id, node.locality.zone, usual, held, fresh, self)
+        stream.proxy = self.hooks.join(node.id, node.locality.zone, usual, held, fresh, self, life_of(node))
         self.at[stream.proxy] = at
         self.nodes[stream.proxy] = node.id
         self.tap("join", now_ms, proxy=node.id, zone=node.locality.zone, fresh=fresh)
@@ -183,17 +183,14 @@
 
     # load reports
 
-    def load(self, at: At, request: lrs_pb2.LoadStatsRequest) -> None:
+    def load(self, at: At, request: lrs_pb2.LoadStatsRequest, data: bytes) -> None:
+        """A report that came with the news, as the first pilot read them all."""
         if at not in self.reporters:
             self.reporters[at] = request.node.id
-            answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True, report_endpoint_granularity=True)
-            answer.load_reporting_interval.FromMilliseconds(round(self.record.fleet.proxies.report_every_ms))
-            at[0].send(at[1], answer.SerializeToString())
+            at[0].send(at[1], load_request(self.record.fleet.proxies.report_every_ms, True))
         proxy = self.hooks.proxy_of(self.reporters[at])
-        if proxy is None:
-            return  # its reports are void until its stream stands
-        for stats in request.cluster_stats:
-            take_report(self.hooks, proxy, stats)
+        if proxy is not None and request.cluster_stats:  # else its reports are void until its stream stands
+            self.hooks.told(proxy, read_report(request, data, self.hooks.places, self.hooks.endpoints))
 
 
 def warn_refused(log: Any, node: str, refusal: Refusal, version: Any) -> None:
--- a/quillstep/xds/http2.py
+++ b/quillstep/xds/http2.py
@@ -18,6 +18,7 @@
 Event = tuple
 STREAMS_MOST = 16  # on one connection
 WINDOW = 2**20
+STREAM_WINDOW = 2**16 - 1  # of one stream, at a server: what waits of a peer's reports is never more
 
 
 def texts(headers: Any) -> dict[str, str]:
@@ -41,7 +42,7 @@
             initial_values={
                 h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: STREAMS_MOST,
                 h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: headers_most,
-                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: WINDOW,
+                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: WINDOW if client else STREAM_WINDOW,
             },
         )
         self.h2.decoder.max_header_list_size = headers_most
@@ -50,6 +51,9 @@
         self.closing: dict[int, tuple[int, str]] = {}  # streams to be ended once their messages are out
         self.answered: set[int] = set()  # streams whose response headers are out
         self.held_bytes = 0
+        self.owed: dict[
+            int, list[int]
+        ] = {}  # streams that get room by `taken`: bytes and messages not taken yet
         self.h2.initiate_connection()
         self.h2.increment_flow_control_window(WINDOW)
 
@@ -81,13 +85,11 @@
             return [("open", stream, headers.get(":path", ""))]
         if isinstance(event, h2.events.DataReceived):
             stream = event.stream_id or 0
-            if event.flow_controlled_length:
-                self.h2.acknowledge_received_data(event.flow_controlled_length, stream)
             unframer = self.unframers.get(stream)
-            if unframer is None:
-                return []
             try:
-                return [("message", stream, message) for message in unframer.feed(event.data or b"")]
+                messages = unframer.feed(event.data or b"") if unframer else []
+                self.give_room(stream, event.flow_controlled_length or 0, len(messages))
+                return [("message", stream, message) for message in messages]
             except FramingError as trouble:
                 if self.client:
                     raise ConnectionBroken(str(trouble)) from None
@@ -126,7 +128,42 @@
             raise ConnectionBroken(f"the peer says goodbye, code {event.error_code}")
         return []
 
+    def hold(self, stream: int, message_most: int) -> None:
+        """Let this stream's peer send more only as its messages are `taken`, none of them larger than this."""
+        self.owed[stream] = [0, 0]
+        if stream in self.unframers:
+            self.unframers[stream].most = message_most
+
+    def give_room(self, stream: int, size: int, messages: int) -> None:
+        """Room for what has come: at once, or for whole messages of a held stream as they are taken."""
+        if not size:
+            return
+        owed = self.owed.get(stream)
+        if owed is None or not messages:
+            self.h2.acknowledge_received_data(size, stream)
+            return
+        self.h2.increment_flow_control_window(
+            size
+        )  # other streams of this connection don't wait for this one
+        owed[0] += size
+        owed[1] += messages
+
+    def taken(self, stream: int) -> None:
+        """A message of a held stream has been taken."""
+        owed = self.owed.get(stream)
+        if not owed or not owed[1]:
+            return
+        size = owed[0] // owed[1]
+        owed[0] -= size
+        owed[1] -= 1
+        if size and stream in self.unframers:
+            try:
+                self.h2.increment_flow_control_window(size, stream)
+            except h2.exceptions.ProtocolError:
+                pass  # the stream has ended under us
+
     def forget(self, stream: int) -> None:
+        self.owed.pop(stream, None)
         self.unframers.pop(stream, None)
         self.closing.pop(stream, None)
         for message in self.outgoing.pop(stream, ()):
@@ -203,4 +240,5 @@
         except h2.exceptions.ProtocolError:
             pass  # the peer has reset it
         self.answered.discard(stream)
+        self.owed.pop(stream, None)
         self.unframers.pop(stream, None)
--- a/quillstep/xds/server.py
+++ b/quillstep/xds/server.py
@@ -4,7 +4,7 @@
 import socket
 import threading
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import structlog
 from envoy.service.discovery.v3 import discovery_pb2
@@ -27,11 +27,24 @@
 News = tuple  # ("open", peer, stream, path), ("request", peer, stream, message, its bytes), ("end", peer, stream, why)
 
 
+class LoadReader(Protocol):
+    """Who takes load reports, apart from all other news; none of these may block."""
+
+    message_most: int
+
+    def opened(self, peer: Peer, stream: int) -> None: ...
+    def message(self, peer: Peer, stream: int, data: bytes) -> None: ...
+    def ended(self, peer: Peer, stream: int) -> None: ...
+
+
 class Server:
-    """A listening socket and its peers.  `put` hands one piece of news over and blocks while the inbox is full."""
+    """A listening socket and its peers.  `put` hands one piece of news over and blocks while the inbox is full;
+    load reports go to `loads` where there is one, so that no acknowledgement waits behind them."""
 
-    def __init__(self, listen: str, limits: LimitsRecord, put: Callable[[News], None]) -> None:
-        self.limits, self.put = limits, put
+    def __init__(
+        self, listen: str, limits: LimitsRecord, put: Callable[[News], None], loads: LoadReader | None = None
+    ) -> None:
+        self.limits, self.put, self.loads = limits, put, loads
         self.log = structlog.get_logger("xds")
         host, _, port = listen.rpartition(":")
         self.listener = socket.create_server((host.strip("[]"), int(port)), backlog=512)
@@ -80,11 +93,19 @@
                 return
             self.methods[peer, stream] = path
             peer.with_connection(lambda c: c.accept(stream))
-            self.put(("open", peer, stream, path))
+            if self.loads and path == LOAD:
+                most = self.loads.message_most
+                peer.with_connection(lambda c: c.hold(stream, most))
+                self.loads.opened(peer, stream)
+            else:
+                self.put(("open", peer, stream, path))
         elif kind == "message":
             found = self.methods.get((peer, stream))
             if found is None:
                 return
+            if self.loads and found == LOAD:
+                self.loads.message(peer, stream, event[2])
+                return
             try:
                 message = REQUESTS[found].FromString(event[2])
             except DecodeError:
@@ -96,10 +117,16 @@
                 self.put(("end", peer, stream, "a message that is no request"))
                 return
             self.put(("request", peer, stream, message, event[2]))
-        elif self.methods.pop((peer, stream), None):
+        elif found := self.methods.pop((peer, stream), None):
             if event[2]:
                 self.log.warning("stream ended", reason=event[3], code=event[2])
-            self.put(("end", peer, stream, event[3]))
+            self.end(peer, stream, found, event[3])
+
+    def end(self, peer: Peer, stream: int, method: str, reason: str) -> None:
+        if self.loads and method == LOAD:
+            self.loads.ended(peer, stream)
+        else:
+            self.put(("end", peer, stream, reason))
 
     def closed(self, peer: Peer, reason: str) -> None:
         with self.lock:
@@ -108,8 +135,8 @@
         if not streams or not peer.started:
             self.log.warning("connection ended", reason=reason)
         for stream in streams:
-            if self.methods.pop((peer, stream), None):
-                self.put(("end", peer, stream, reason))
+            if method := self.methods.pop((peer, stream), None):
+                self.end(peer, stream, method, reason)
 
     def finish(self, peer: Peer, stream: int, status: int, text: str) -> None:
         """End one stream with a status that its peer can read."""
@@ -124,4 +151,4 @@
             peer.stop("the pilot stops")
 
 
-__all__ = ["DELTA", "LOAD", "SOTW", "ConnectionBroken", "News", "Server"]
+__all__ = ["DELTA", "LOAD", "SOTW", "ConnectionBroken", "LoadReader", "News", "Server"]
--- a/tests/test_whatif.py
+++ b/tests/test_whatif.py
@@ -43,7 +43,7 @@
         life.roster = [(10.0, "complete", entries(), addresses()), *roster]
         life.streams = [(20.0, "join", name, {"fresh": True}) for name in list(proxies)[number::lives]]
         life.reports = sorted(
-            (1000.0 + 1000.0 * second + 100.0 * at + late, name)
+            (1000.0 + 1000.0 * second + 100.0 * at + late, name, late)
             for second in range(1, int(seconds) + 1)
             for at, name in enumerate(proxies)
         )
@@ -179,7 +179,8 @@
         life.reports = sorted(life.reports * 2)
     elif jumble == "out of order":
         life.reports = [
-            (at + (1500.0 if k % 3 == 0 else 0.0), name) for k, (at, name) in enumerate(life.reports)
+            (at + (1500.0 if k % 3 == 0 else 0.0), name, 1500.0 if k % 3 == 0 else 0.0)
+            for k, (at, name, _) in enumerate(life.reports)
         ]
     assert played(day)["service"]["service"] > 0.98
 
