One thread serves all connections of a pilot, in place of two for each

`quillstep bench reports` measures drains with heavy reports and without in one run, at 64 to 2,000 proxies, by three ways of reading.

--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -416,6 +416,27 @@
     finish(run(list(sizes), exchanges, seconds, Path(folder)), out)
 
 
+@bench.command("reports")
+@click.option("--proxies", "sizes", multiple=True, type=int, default=[64, 262, 1000, 2000], show_default=True)
+@click.option("--by", "ways", multiple=True, type=click.Choice(["inbox", "thread", "processes"]),
+              default=["inbox", "thread", "processes"], show_default=True)  # fmt: skip
+@click.option("--exchanges", default=300.0, show_default=True, help="A second, at every size.")
+@click.option("--spans", default=4, show_default=True, help="With and without reports, in turn.")
+@click.option("--set", "changes", multiple=True, help="field=value in the reports' record.")
+@click.option(
+    "--record", "folder", type=click.Path(), default=".day/bench", help="Where the sockets' record goes."
+)
+@click.option("--out", type=click.Path(), help="A file to keep the result in.")
+def bench_reports(
+    sizes: tuple[int, ...], ways: tuple[str, ...], exchanges: float, spans: int, changes: tuple[str, ...],
+    folder: str, out: str | None,
+) -> None:  # fmt: skip
+    """Drains with and without the load of many reports, what reading costs, by three ways of reading."""
+    from quillstep.bench.reports import run
+
+    finish(run(list(sizes), list(ways), exchanges, spans, Path(folder), changes_of(changes)), out)
+
+
 @bench.command("replay")
 @click.option("--proxies", default=262, show_default=True)
 @click.option("--exchanges", default=860.0, show_default=True, help="A second, of the large day.")
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -1,6 +1,7 @@
 """One pilot as a process: the deciding thread, its inbox, and what carries news to it and orders from it."""
 
 import os
+import sys
 import threading
 import time
 from typing import Any
@@ -24,6 +25,7 @@
 BATCH = 512  # pieces of news between two looks at the channel
 SUMS_MOST = 64  # windows of sums that may wait for the deciding thread
 IDLE_S = 0.5
+SWITCH_S = 0.001  # that another thread may hold the interpreter while the deciding one waits for it
 SAY_MS = 10000.0  # between two lines on what was read of load reports
 LATE_MOST = 600_000  # tenths of a millisecond that the histogram of rounds reaches to
 
@@ -52,6 +54,7 @@
 
     def __init__(self, record: PilotRecord) -> None:
         threading.stack_size(STACK_BYTES)
+        sys.setswitchinterval(SWITCH_S)
         self.record = record
         self.lanes = Lanes(record.limits.news_most, SUMS_MOST)
         self.socket_record = SocketRecord(record.record)
--- a/quillstep/reports/intake.py
+++ b/quillstep/reports/intake.py
@@ -28,7 +28,8 @@
         self.usual_ms = fleet.proxies.report_every_ms
         self.period_ms = INTAKE_PART * self.usual_ms
         self.ageing = facts.ageing
-        self.since_ms: float | None = None
+        self.since_ms = float("-inf")
+        self.first_ms = 0.0  # when the first came of what has gathered
         self.sums: dict[tuple[str, int], list[list[Any]]] = {}
         self.arrivals: dict[tuple[int, int], list[list[float]]] = {}  # by class place and proxy
         self.newest: dict[tuple[str, int], float] = {}
@@ -58,8 +59,8 @@
 
     def take(self, found: dict[str, Any], now_ms: float) -> None:
         """One gatherer's window."""
-        if self.since_ms is None:
-            self.since_ms = now_ms
+        if not (self.sums or self.arrivals):
+            self.first_ms = now_ms
         for row in found["sums"]:
             self.take_sum(row)
         for place, proxy, arrived, unanswered, covers_ms, until_ms in found["arrivals"]:
@@ -126,7 +127,7 @@
         """When what has gathered is to be handed over; never while there is nothing."""
         if not (self.sums or self.arrivals):
             return float("inf")
-        return (self.since_ms or 0.0) + self.period_ms
+        return max(self.first_ms, self.since_ms + self.period_ms)
 
     def hand_over(self, now_ms: float) -> tuple[list[tuple], list[tuple]]:
         """Sums and arrivals in the interface's shape; starts anew."""
--- a/quillstep/standins/roster.py
+++ b/quillstep/standins/roster.py
@@ -16,9 +16,8 @@
 
 from quillstep.settings import LimitsRecord
 from quillstep.standins.process import STACK_BYTES, Record, answer, first_command, now_ms, serve
-from quillstep.xds.peer import Peer
 from quillstep.xds.resources import LEDS
-from quillstep.xds.server import DELTA, Server
+from quillstep.xds.server import DELTA, Peer, Server
 
 FLEET = "xdstp://roster/envoy.config.endpoint.v3.LbEndpoint/fleet/"
 STATUS = {"in_service": health_check_pb2.HEALTHY, "terminating": health_check_pb2.DRAINING}
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -15,8 +15,7 @@
 from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
 from quillstep.xds.loads import Hooks, life_of, load_request, read_report
-from quillstep.xds.peer import Peer
-from quillstep.xds.server import DELTA, LOAD, SOTW, News, Server
+from quillstep.xds.server import DELTA, LOAD, SOTW, News, Peer, Server
 from quillstep.xds.sotw import SotwStream
 from quillstep.xds.stream import Response, StreamFault
 
--- /dev/null
+++ b/quillstep/xds/poller.py
@@ -0,0 +1,312 @@
+"""Many connections served by one thread: blocking sockets, a poll that says which of them have something.
+
+A thousand reader and writer threads cost a Python process more in fights for its interpreter than all that they read
+(measured, see docs/reports.md); one thread reads what has come, hands each event on, and writes what there is room
+for.  A peer that reads slowly, stalls, floods or breaks the protocol costs its own connection alone: it is read no
+further than its budget, and what it does not take has a bound and a time.
+"""
+
+import contextlib
+import os
+import select
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+import structlog
+
+from quillstep.settings import LimitsRecord
+from quillstep.xds.http2 import ConnectionBroken, Event, GrpcConnection
+
+CHUNK = 64 * 1024
+IDLE_MS = 500.0
+TEND_MS = 250.0
+MESSAGES_PER_S = 1000.0  # that one peer may send for long; as many may come at once
+READ, WRITE = select.POLLIN, select.POLLOUT
+ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000.0
+
+
+class Served:
+    """One connection.  `send`, `with_connection`, `unsent`, `stop` may be called from any thread and never block."""
+
+    def __init__(self, poller: "Poller", sock: socket.socket, http2: GrpcConnection) -> None:
+        self.poller, self.sock, self.http2 = poller, sock, http2
+        self.lock = threading.Lock()
+        self.out = bytearray()  # what the socket has not taken yet; the poller's thread alone touches it
+        self.begun_ms = self.heard_ms = self.pinged_ms = self.written_ms = now_ms()
+        self.budget, self.counted_ms = MESSAGES_PER_S, self.begun_ms
+        self.polled = READ
+        self.holds = False  # it is not read while this stands
+        self.started = False  # the first request has come
+        self.touched = False
+        self.stopping = ""  # why it is to end
+        self.gone = False
+
+    def unsent(self) -> int:
+        return self.http2.held_bytes + len(self.out)
+
+    def send(self, stream: int, message: bytes) -> bool:
+        """Queue a message; False if the peer is over its bound and is cut off."""
+        with self.lock:
+            if self.stopping or self.gone:
+                return False
+            self.http2.send(stream, message)
+            over = self.unsent() > self.poller.limits.unsent_most_bytes + 2 * len(message)
+        if over:
+            self.stop("it reads more slowly than its bound allows")
+        self.poller.touch(self)
+        return not over
+
+    def with_connection(self, what: Callable[[GrpcConnection], None]) -> None:
+        """Do something with the connection; the poller sees to the rest."""
+        with self.lock:
+            if not self.gone:
+                what(self.http2)
+        self.poller.touch(self)
+
+    def hold(self, holds: bool) -> None:
+        """Read no further for now, or on again."""
+        if self.holds != holds:
+            self.holds = holds
+            self.poller.touch(self)
+
+    def stop(self, reason: str) -> None:
+        """End the connection, after what can be sent at once."""
+        if not self.stopping:
+            self.stopping = reason
+        self.poller.touch(self)
+
+
+class Poller:
+    """A listening socket and all that it accepted.
+
+    `sink(peer, event)` and `closed(peer, reason)` are called in the poller's thread.  `passed`, where given, is called
+    after each pass and returns when, on the monotonic clock in milliseconds, the next one is due at the latest.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        limits: LimitsRecord,
+        sink: Callable[[Served, Event], None],
+        closed: Callable[[Served, str], None],
+        *,
+        message_most: int,
+        silent_ms: float,
+        passed: Callable[[], float] | None = None,
+    ) -> None:
+        self.limits, self.sink, self.closed, self.passed = limits, sink, closed, passed
+        self.message_most, self.silent_ms = message_most, silent_ms
+        host, _, port = listen.rpartition(":")
+        self.listener = socket.create_server((host.strip("[]"), int(port)), backlog=1024)
+        self.address = "{}:{}".format(*self.listener.getsockname()[:2])
+        self.poll = select.poll()
+        self.peers: dict[int, Served] = {}
+        self.inputs: dict[
+            int, Callable[[], bool]
+        ] = {}  # other descriptors; False from one of these ends the poller
+        self.touched: deque[Served] = deque()
+        self.waker, self.woken = os.pipe()
+        os.set_blocking(self.waker, False)
+        os.set_blocking(self.woken, False)
+        self.awake = False
+        self.ending = threading.Event()
+        self.tended_ms = now_ms()
+        self.read_s = 0.0  # processor time spent on sockets and streams
+        self.log = structlog.get_logger("xds")
+
+    def listen_to(self, descriptor: int, take: Callable[[], bool]) -> None:
+        self.inputs[descriptor] = take
+
+    def touch(self, peer: Served) -> None:
+        """Have the poller's thread look at a peer."""
+        if not peer.touched:
+            peer.touched = True
+            self.touched.append(peer)
+            self.wake()
+
+    def wake(self) -> None:
+        if not self.awake:
+            self.awake = True
+            with contextlib.suppress(OSError):
+                os.write(self.woken, b"x")
+
+    def end(self) -> None:
+        """End all connections and the poller's thread, after what can be sent at once."""
+        self.ending.set()
+        self.awake = False
+        self.wake()
+
+    # the poller's thread
+
+    def run(self) -> None:
+        self.poll.register(self.listener, READ)
+        self.poll.register(self.waker, READ)
+        for descriptor in self.inputs:
+            self.poll.register(descriptor, READ)
+        due_ms = float("inf")
+        while not self.ending.is_set():
+            ready = self.poll.poll(min(IDLE_MS, max(0.0, due_ms - now_ms())))
+            begun = time.thread_time()
+            for descriptor, events in ready:
+                if descriptor in self.peers:
+                    self.serve(self.peers[descriptor], events)
+                elif descriptor == self.waker:
+                    self.awake = False  # before the read: a wake after it writes again
+                    with contextlib.suppress(BlockingIOError):
+                        os.read(self.waker, 4096)
+                elif descriptor in self.inputs:
+                    if not self.inputs[descriptor]():
+                        self.ending.set()
+                else:
+                    self.accept()
+            self.look_at_touched()
+            if now_ms() - self.tended_ms > TEND_MS:
+                self.tend()
+            self.read_s += time.thread_time() - begun
+            due_ms = self.passed() if self.passed else float("inf")
+            self.look_at_touched()
+        self.listener.close()
+        for peer in list(self.peers.values()):
+            peer.stopping = peer.stopping or "the pilot stops"
+            self.look_at(peer)
+        os.close(self.waker)
+        os.close(self.woken)
+
+    def accept(self) -> None:
+        try:
+            sock, _ = self.listener.accept()
+        except OSError:
+            return
+        if len(self.peers) >= self.limits.connections_most:
+            self.log.warning("connection refused", reason="too many connections", most=len(self.peers))
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        peer = Served(self, sock, GrpcConnection(False, self.message_most, self.limits.headers_most_bytes))
+        self.peers[sock.fileno()] = peer
+        self.poll.register(sock, READ)
+        self.look_at(peer)
+
+    def serve(self, peer: Served, events: int) -> None:
+        """Read what has come, hand it on, write what there is room for."""
+        if events & (READ | ENDED):
+            try:
+                data = peer.sock.recv(CHUNK, socket.MSG_DONTWAIT)
+                if not data:
+                    self.finish(peer, peer.stopping or "it closed the connection")
+                    return
+                self.take(peer, data)
+            except BlockingIOError:
+                pass
+            except ConnectionBroken as trouble:
+                self.say_goodbye(peer)
+                self.finish(peer, str(trouble))
+                return
+            except OSError as trouble:
+                self.finish(peer, peer.stopping or type(trouble).__name__)
+                return
+        if not peer.gone:
+            self.look_at(peer)
+
+    def take(self, peer: Served, data: bytes) -> None:
+        peer.heard_ms = now_ms()
+        with peer.lock:
+            events = peer.http2.receive(data)
+        for event in events:
+            peer.started = True
+            self.sink(peer, event)
+        if events:
+            peer.budget -= len(events)
+
+    def look_at_touched(self) -> None:
+        while self.touched:
+            peer = self.touched.popleft()
+            peer.touched = False
+            if not peer.gone:
+                self.look_at(peer)
+
+    def look_at(self, peer: Served) -> None:
+        """Write what there is room for; poll it for what it may do; end it if it is to end."""
+        try:
+            with peer.lock:
+                peer.out += peer.http2.pump()
+            if peer.out:
+                self.write(peer)
+        except OSError:
+            self.finish(peer, peer.stopping or "the connection broke")
+            return
+        except Exception as trouble:  # a broken protocol state must end this connection, not the thread
+            self.finish(peer, f"{type(trouble).__name__}: {trouble}")
+            return
+        if peer.stopping:
+            self.finish(peer, peer.stopping)
+            return
+        # One that asks for more answers than it reads is read no further, until its time to take them is over.
+        waits = peer.holds or peer.budget < 0 or len(peer.out) > self.limits.unsent_most_bytes
+        wanted = (0 if waits else READ) | (WRITE if peer.out else 0)
+        if wanted != peer.polled:
+            peer.polled = wanted
+            self.poll.modify(peer.sock, wanted)
+
+    def write(self, peer: Served) -> None:
+        """Raises OSError."""
+        if not peer.polled & WRITE:
+            peer.written_ms = now_ms()
+        try:
+            sent = peer.sock.send(peer.out, socket.MSG_DONTWAIT)
+            if sent:
+                del peer.out[:sent]
+                peer.written_ms = now_ms()
+        except BlockingIOError:
+            pass
+
+    @staticmethod
+    def say_goodbye(peer: Served) -> None:
+        """What the protocol has to say to one that broke it, if it still reads."""
+        with peer.lock, contextlib.suppress(OSError):
+            peer.sock.send(peer.http2.h2.data_to_send()[:4096], socket.MSG_DONTWAIT)
+
+    def finish(self, peer: Served, reason: str) -> None:
+        with peer.lock:
+            if peer.gone:
+                return
+            peer.gone = True
+        self.peers.pop(peer.sock.fileno(), None)
+        with contextlib.suppress(KeyError, OSError, ValueError):
+            self.poll.unregister(peer.sock)
+        with contextlib.suppress(OSError):
+            peer.sock.shutdown(socket.SHUT_WR)
+        peer.sock.close()
+        self.closed(peer, reason)
+
+    def tend(self) -> None:
+        """Time limits, pings, and budgets that come back."""
+        now = self.tended_ms = now_ms()
+        limits = self.limits
+        for peer in list(self.peers.values()):
+            held = peer.budget < 0
+            peer.budget = min(MESSAGES_PER_S, peer.budget + (now - peer.counted_ms) * MESSAGES_PER_S / 1000.0)
+            peer.counted_ms = now
+            if not peer.started and now - peer.begun_ms > limits.handshake_ms:
+                self.finish(peer, "no request came in time")
+            elif peer.out and now - peer.written_ms > limits.write_ms:
+                self.finish(peer, "it takes no bytes")
+            elif peer.started and not peer.holds and now - peer.heard_ms > self.silent_ms:
+                self.finish(peer, "it was silent for too long")
+            elif peer.started and now - max(peer.heard_ms, peer.pinged_ms) > limits.ping_ms:
+                peer.pinged_ms = now
+                with peer.lock:
+                    peer.http2.ping()
+                self.look_at(peer)
+            elif held:
+                self.look_at(peer)
+
+
+__all__ = ["Poller", "Served", "now_ms"]
--- a/quillstep/xds/server.py
+++ b/quillstep/xds/server.py
@@ -1,7 +1,5 @@
-"""Accepts connections for the streaming front and hands what they say to the deciding thread's inbox."""
+"""What connections of the streaming front say, as news for the deciding thread."""
 
-import contextlib
-import socket
 import threading
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -13,8 +11,9 @@
 
 from quillstep.settings import LimitsRecord
 from quillstep.xds.grpc import INVALID_ARGUMENT, UNIMPLEMENTED
-from quillstep.xds.http2 import ConnectionBroken, Event, GrpcConnection
-from quillstep.xds.peer import Peer
+from quillstep.xds.http2 import Event
+from quillstep.xds.poller import Poller
+from quillstep.xds.poller import Served as Peer
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 DELTA, SOTW = ADS + "DeltaAggregatedResources", ADS + "StreamAggregatedResources"
@@ -38,7 +37,7 @@
 
 
 class Server:
-    """A listening socket and its peers.  `put` hands one piece of news over and blocks while the inbox is full;
+    """The front's streams.  `put` hands one piece of news over and blocks while the inbox is full;
     load reports go to `loads` where there is one, so that no acknowledgement waits behind them."""
 
     def __init__(
@@ -46,42 +45,16 @@
     ) -> None:
         self.limits, self.put, self.loads = limits, put, loads
         self.log = structlog.get_logger("xds")
-        host, _, port = listen.rpartition(":")
-        self.listener = socket.create_server((host.strip("[]"), int(port)), backlog=512)
-        self.address = "{}:{}".format(*self.listener.getsockname()[:2])
-        self.peers: set[Peer] = set()
+        most = limits.message_most_bytes
+        self.poller = Poller(
+            listen, limits, self.event, self.closed, message_most=most, silent_ms=limits.silent_ms
+        )
+        self.address = self.poller.address
         self.methods: dict[tuple[Peer, int], str] = {}
-        self.lock = threading.Lock()
+        self.streams: dict[Peer, set[int]] = {}
 
     def start(self) -> None:
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.listener.accept()
-            except OSError:
-                return
-            if len(self.peers) >= self.limits.connections_most:
-                self.log.warning("connection refused", reason="too many connections", most=len(self.peers))
-                sock.close()
-                continue
-            limits = self.limits
-            connection = GrpcConnection(False, limits.message_most_bytes, limits.headers_most_bytes)
-            peer = Peer(
-                sock,
-                connection,
-                self.event,
-                self.closed,
-                write_ms=limits.write_ms,
-                silent_ms=limits.silent_ms,
-                ping_ms=limits.ping_ms,
-                handshake_ms=limits.handshake_ms,
-                unsent_most=limits.unsent_most_bytes,
-            )
-            with self.lock:
-                self.peers.add(peer)
-            peer.start()
+        threading.Thread(target=self.poller.run, daemon=True).start()
 
     def event(self, peer: Peer, event: Event) -> None:
         kind, stream = event[0], event[1]
@@ -92,6 +65,7 @@
                 peer.with_connection(lambda c: c.finish(stream, UNIMPLEMENTED, f"no method {path}"))
                 return
             self.methods[peer, stream] = path
+            self.streams.setdefault(peer, set()).add(stream)
             peer.with_connection(lambda c: c.accept(stream))
             if self.loads and path == LOAD:
                 most = self.loads.message_most
@@ -129,9 +103,7 @@
             self.put(("end", peer, stream, reason))
 
     def closed(self, peer: Peer, reason: str) -> None:
-        with self.lock:
-            self.peers.discard(peer)
-        streams = [stream for held, stream in list(self.methods) if held is peer]
+        streams = sorted(self.streams.pop(peer, ()))
         if not streams or not peer.started:
             self.log.warning("connection ended", reason=reason)
         for stream in streams:
@@ -144,11 +116,7 @@
         peer.with_connection(lambda c: c.finish(stream, status, text))
 
     def stop(self) -> None:
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-        for peer in list(self.peers):
-            peer.stop("the pilot stops")
+        self.poller.end()
 
 
-__all__ = ["DELTA", "LOAD", "SOTW", "ConnectionBroken", "LoadReader", "News", "Server"]
+__all__ = ["DELTA", "LOAD", "SOTW", "LoadReader", "News", "Peer", "Server"]
