--- a/quillstep/reports/desk.py
+++ b/quillstep/reports/desk.py
@@ -133,9 +133,11 @@
 
     def not_before(self, line: Line, arrived_ms: float, size: int, now_ms: float) -> float:
         """0 where a message may be read now, else when to look again."""
-        if not line.name:
-            return 0.0
-        if line.name not in self.gatherer.accounts and now_ms - arrived_ms < self.gatherer.usual_ms:
+        if (
+            line.name
+            and line.name not in self.gatherer.accounts
+            and now_ms - arrived_ms < self.gatherer.usual_ms
+        ):
             return now_ms + WAITS * self.gatherer.usual_ms  # its other stream may be about to stand
         return self.gatherer.may_read(line.name, size, now_ms)
 
--- a/quillstep/reports/sums.py
+++ b/quillstep/reports/sums.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-ONE_MOST = 0.25  # the part of a judgement that one proxy's word may make up, where enough others speak
+ONE_MOST = 0.25  # the part of a judgement that one proxy's word may make up, where eight or more speak
 ENOUGH = 32  # proxies from which on one may not make up more than that of all traffic
 Row = tuple[int, int, int, float, float | None]  # endpoint, good, failed, summed time of the good, load
 
@@ -72,20 +72,21 @@
 
 
 def clip(shares: list[float], most: float) -> list[float]:
-    """Shares of a whole, with none above `most` of what is left of all; with too few, all are equal at most."""
-    total = math.fsum(shares)
-    most = max(most, 1.0 / max(1, sum(each > 0.0 for each in shares)))
-    if not shares or max(shares) <= most * total:
+    """Shares of a whole with none above `most` of what is left of all, or above twice an equal part of it where few
+    speak: with one or two there is nobody to say who lies."""
+    most = max(most, 2.0 / max(1, sum(each > 0.0 for each in shares)))
+    if not shares or max(shares) <= most * math.fsum(shares):
         return shares
     ordered = sorted(shares, reverse=True)
-    rest = total
-    for cut, each in enumerate(ordered):
-        # With the greatest `cut` shares cut to the limit L: L = most (cut L + rest).
-        if cut * most < 1.0 and each <= most * rest / (1.0 - cut * most):
-            limit = most * rest / (1.0 - cut * most)
-            return [min(each, limit) for each in shares]
-        rest -= each
-    return [min(each, ordered[-1]) for each in shares]
+    # With the greatest `cut` of them cut to a limit L, L = most x (cut x L + the rest).
+    for cut in range(1, len(ordered)):
+        if cut * most > 1.0 - 1e-9:  # those that were cut make up all there is: they are equal
+            limit = ordered[cut - 1]
+            break
+        limit = most * math.fsum(ordered[cut:]) / (1.0 - cut * most)
+        if ordered[cut] <= limit:
+            break
+    return [min(each, limit) for each in shares]
 
 
 def fold(
