--- a/quillstep/reports/gather.py
+++ b/quillstep/reports/gather.py
@@ -49,6 +49,7 @@
         self.gone: dict[str, Account] = {}  # of proxies that left
         self.names: dict[int, str] = {}
         self.newest: dict[tuple[str, int], float] = {}
+        self.carried: dict[tuple[str, int], float] = {}  # tries that wait for fresh news of their endpoint
         self.window = Window()
         self.work = 0.0  # that may be done now
         self.work_ms: float | None = None
@@ -157,6 +158,8 @@
         if now_ms - report.until_ms > horizon_ms(report.grace_ms, self.usual_ms) and self.facts.ageing:
             self.count("too old")
             return
+        if self.facts.ageing:
+            report.volume = account.flows(report.part * report.covers_ms, now_ms)
         report.rows_work = max(0.0, work - MESSAGE_WORK) if account.full else -1.0
         self.window.add(report)
         if self.since_ms is None:
@@ -194,7 +197,7 @@
     def hand_over(self, now_ms: float) -> dict[str, Any]:
         """The window as plain values, and what became of the rest; starts anew."""
         slack_ms = self.usual_ms if self.facts.ageing else float("inf")
-        made: Folded = fold(self.window, now_ms, self.weigh, self.newest, slack_ms)
+        made: Folded = fold(self.window, now_ms, self.weigh, self.newest, slack_ms, self.carried)
         found = {
             "sums": made.sums, "arrivals": made.arrivals, "took": made.took, "heard": made.heard,
             "overtaken": made.overtaken, "void": self.void, "work": round(self.done, 1),
--- a/quillstep/reports/guard.py
+++ b/quillstep/reports/guard.py
@@ -18,6 +18,7 @@
 BURST = 4.0  # reports that may come at once; a mean of REPORTS_MOST in a period
 REPORTS_MOST = 2.0
 COVER_SPARE = 2.0  # periods of cover beyond the time that has passed, for clocks and jitter
+FLOW_MOST = 1.5  # periods of cover that may count as flow at once
 DELAY_SPAN = 60.0  # periods after which the best delay is forgotten
 DIGESTS_KEPT = 32
 
@@ -59,6 +60,18 @@
     allowed: float = BURST  # reports that may be read now
     allowed_ms: float | None = None
     came: float = 0.0
+    flow_ms: float = float("inf")  # of cover whose tries may still count as flow of the present
+    flow_at_ms: float | None = None
+
+    def flows(self, covers_ms: float, now_ms: float) -> float:
+        """The part of a report's tries that counts as flow of the present: as much cover as time has passed, so that
+        a proxy that is always late counts in full, and one that brings ten periods at once for a little over one."""
+        most = FLOW_MOST * max(self.period_ms, self.usual_ms)
+        passed = now_ms - self.flow_at_ms if self.flow_at_ms is not None else most
+        self.flow_ms, self.flow_at_ms = min(most, self.flow_ms + max(0.0, passed)), now_ms
+        part = min(1.0, self.flow_ms / covers_ms)
+        self.flow_ms -= part * covers_ms
+        return part
 
     def may_read(self, now_ms: float) -> float:
         """0 where a report of its may be read now, else when; a flood is read at the pace of its period."""
--- a/quillstep/reports/intake.py
+++ b/quillstep/reports/intake.py
@@ -37,6 +37,7 @@
         self.told: dict[
             tuple[int, int], float
         ] = {}  # until when arrivals were told, by class place and proxy
+        self.carried: dict[tuple[str, int], float] = {}  # tries that wait for fresh news of their endpoint
         self.rates: dict[int, float] = {}  # exchanges a second by proxy, for the bound on one's word
         work = facts.work_per_s * max(1, len(facts.listen))
         self.sampler = Sampler(work, self.usual_ms, record.seed) if facts.sampling else None
@@ -92,7 +93,10 @@
         key = (zone, endpoint)
         newest = self.newest.get(key, float("-inf"))
         if self.ageing and until_ms < newest - self.usual_ms - self.period_ms:
-            self.count("overtaken sums")  # another gatherer's zone had fresher news of it
+            self.count(
+                "overtaken sums"
+            )  # another gatherer had fresher news of it; the tries were made all the same
+            self.carried[key] = self.carried.get(key, 0.0) + row[2] + row[3]
             return
         self.newest[key] = max(newest, until_ms)
         self.sums.setdefault(key, []).append(row)
@@ -135,7 +139,7 @@
 
     def hand_over(self, now_ms: float) -> tuple[list[tuple], list[tuple]]:
         """Sums and arrivals in the interface's shape; starts anew."""
-        sums = [merged(endpoint, rows) for (_, endpoint), rows in sorted(self.sums.items())]
+        sums = [merged(key[1], rows, self.carried.pop(key, 0.0)) for key, rows in sorted(self.sums.items())]
         most = self.bound()
         arrivals = []
         for (place, proxy), rows in sorted(self.arrivals.items()):
@@ -183,9 +187,12 @@
         return found
 
 
-def merged(endpoint: int, rows: list[list[Any]]) -> tuple:
-    """The rows of one endpoint and zone as one sum of the interface."""
+def merged(endpoint: int, rows: list[list[Any]], carried: float) -> tuple:
+    """The rows of one endpoint and zone as one sum of the interface, with tries that older rows told of."""
     good, failed, good_ms, weight, load = (math.fsum(row[at] for row in rows) for at in range(2, 7))
+    if carried and good + failed:
+        more = 1.0 + carried / (good + failed)
+        good, failed, good_ms = good * more, failed * more, good_ms * more
     begin = min(row[8] - row[7] for row in rows)
     end = max(row[8] for row in rows)
     told = {"util": load / weight} if weight else {}
--- a/quillstep/reports/sums.py
+++ b/quillstep/reports/sums.py
@@ -13,6 +13,7 @@
 ONE_MOST = 0.25  # the part of a judgement that one proxy's word may make up, where eight or more speak
 ENOUGH = 32  # proxies from which on one may not make up more than that of all traffic
 Row = tuple[int, int, int, float, float | None]  # endpoint, good, failed, summed time of the good, load
+Word = tuple["Report", float, float, Row]  # what it is worth, and how much of it is flow of the present
 
 
 @dataclass(slots=True)
@@ -32,6 +33,7 @@
     arrivals: list[tuple[int, int, int]] = field(default_factory=list)  # class place, arrived, unanswered
     rows: list[Row] = field(default_factory=list)
     took: list[tuple[int, int, float]] = field(default_factory=list)  # class place, count, summed time
+    volume: float = 1.0  # of its tries that count as flow of the present
     rows_work: float = -1.0  # what its rows cost to read; below 0: it was not to tell of endpoints
 
     @property
@@ -96,14 +98,16 @@
     weigh: Callable[[Report, float], float],
     newest: dict[tuple[str, int], float],
     slack_ms: float,
+    carried: dict[tuple[str, int], float],
 ) -> Folded:
     """Sums by zone and endpoint, arrivals by class and proxy, times by zone and class.
 
     `weigh(report, now_ms)` gives a report's worth; `newest` says until when each zone had told of each endpoint
-    before, and is brought up to date: rows that end over `slack_ms` (and their own period) before it are left out.
+    before, and is brought up to date: rows that end over `slack_ms` (and their own period) before it say nothing of how
+    the endpoint is; that their tries were made is `carried` to the next sum of it.
     """
     found = Folded()
-    spoken: dict[tuple[str, int], list[tuple[Report, float, Row]]] = {}
+    spoken: dict[tuple[str, int], list[Word]] = {}
     took: dict[tuple[str, int], list[tuple[int, float]]] = {}
     reports = window.in_order()
     bounds = bounded(reports)
@@ -115,16 +119,20 @@
         for place, count, total in report.took:
             took.setdefault((report.zone, place), []).append((count, total))
         if report.factor > 0.0:
-            worth = counts * report.factor * bounds.get(report.proxy, 1.0)
+            stands = report.factor * bounds.get(report.proxy, 1.0)
+            word = (report, counts * stands, report.part * report.volume * stands)
             for row in report.rows:
-                spoken.setdefault((report.zone, row[0]), []).append((report, worth, row))
-    for key, rows in spoken.items():
-        until = max(newest.get(key, float("-inf")), max(report.until_ms for report, _, _ in rows))
+                spoken.setdefault((report.zone, row[0]), []).append((*word, row))
+    for key, words in spoken.items():
+        until = max(newest.get(key, float("-inf")), max(word[0].until_ms for word in words))
         newest[key] = until
-        fresh = [row for row in rows if row[0].until_ms >= until - slack_ms - row[0].grace_ms]
-        found.overtaken += len(rows) - len(fresh)
+        fresh = [word for word in words if word[0].until_ms >= until - slack_ms - word[0].grace_ms]
+        found.overtaken += len(words) - len(fresh)
+        volume = carried.pop(key, 0.0) + math.fsum(word[2] * (word[3][1] + word[3][2]) for word in words)
         if fresh:
-            found.sums.append(summed(key, fresh, until))
+            found.sums.append(summed(key, fresh, volume, until))
+        else:
+            carried[key] = volume  # that these tries were made is no old news
     for (zone, place), means in sorted(took.items()):
         count = sum(each for each, _ in means)
         if count:
@@ -163,11 +171,11 @@
     ])  # fmt: skip
 
 
-def summed(key: tuple[str, int], rows: list[tuple[Report, float, Row]], until_ms: float) -> list[Any]:
+def summed(key: tuple[str, int], rows: list[Word], volume: float, until_ms: float) -> list[Any]:
     """One endpoint as one zone met it.  Volume is all that was told; the parts that failed, the times and the load
-    are judged with no proxy's word above `ONE_MOST` of the whole, so that one liar among many moves little."""
+    are judged by what each word is worth, with none above `ONE_MOST` of the whole: one liar among many moves little."""
     by_proxy: dict[int, list[float]] = {}  # good, failed, good_ms, load weight, weighted load
-    for report, worth, (_, good, failed, good_ms, load) in rows:
+    for report, worth, _, (_, good, failed, good_ms, load) in rows:
         held = by_proxy.get(report.proxy)
         if held is None:
             held = by_proxy[report.proxy] = [0.0, 0.0, 0.0, 0.0, 0.0]
@@ -178,14 +186,13 @@
             held[3] += worth * max(1, good + failed)
             held[4] += worth * max(1, good + failed) * load
     words = [by_proxy[proxy] for proxy in sorted(by_proxy)]
-    volume = math.fsum(word[0] + word[1] for word in words)
     clipped = clip([word[0] + word[1] for word in words], ONE_MOST)
     parts = [min(1.0, c / (w[0] + w[1])) if w[0] + w[1] else 0.0 for c, w in zip(clipped, words, strict=True)]
     met = [math.fsum(word[at] * part for word, part in zip(words, parts, strict=True)) for at in range(3)]
     scale = volume / (met[0] + met[1]) if met[0] + met[1] else 0.0
     weight, figure = middle([(word[4] / word[3], word[3]) for word in words if word[3]])
-    begin = min(report.until_ms - report.covers_ms for report, _, _ in rows)
-    end = max(report.until_ms for report, _, _ in rows)
+    begin = min(report.until_ms - report.covers_ms for report, *_ in rows)
+    end = max(report.until_ms for report, *_ in rows)
     return [*key, *(each * scale for each in met), weight, figure * weight, end - begin, until_ms]
 
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -140,7 +140,7 @@
 
 def outcome(window):
     found = fold(
-        window, 5000.0, lambda r, now: weight(now - r.until_ms, r.covers_ms, 1000.0, 1000.0), {}, 1000.0
+        window, 5000.0, lambda r, now: weight(now - r.until_ms, r.covers_ms, 1000.0, 1000.0), {}, 1000.0, {}
     )
     return found.sums, found.arrivals, found.took
 
@@ -240,15 +240,35 @@
     assert (found["sums"] == []) is ageing and found["overtaken"] == int(ageing)
 
 
-def test_old_news_of_an_endpoint_that_nobody_else_told_of_weighs_less_and_says_its_cover():
-    made = gatherer()
-    made.take("p0", told(1, [good(1, 0, 32, 0.0, 1.0)], arrived=40, until=0.0, sent=4000.0), 4000.0, 4000.0)
-    (row,) = (found := made.hand_over(4100.0))["sums"]
-    assert 0.0 < row[3] < 8.0 and row[2] == 0.0 and row[7] == 1000.0
-    ((_, _, arrived, _, covers, _),) = found["arrivals"]
-    assert (
-        arrived / covers == pytest.approx(0.04) and covers < 300.0
-    )  # the rate is honest, the time it is worth less
+def test_old_news_weighs_less_beside_fresh_and_its_tries_were_made_all_the_same():
+    made = gatherer(proxies=3)
+    made.take("p0", told(1, [good(1, 10)], until=9000.0, sent=9000.0), 9000.0, 9000.0)
+    made.take("p2", told(1, [good(1, 0, 10, 0.0)], arrived=40, until=7200.0, sent=9000.0), 9000.0, 9000.0)
+    (row,) = (found := made.hand_over(9100.0))["sums"]
+    assert row[2] + row[3] == pytest.approx(20.0) and 0.1 < row[3] / (row[2] + row[3]) < 0.35
+    _, (_, _, arrived, _, covers, _) = found["arrivals"]
+    assert arrived / covers == pytest.approx(0.04) and covers < 600.0  # an honest rate, worth less time
+
+
+def test_tries_of_rows_that_are_overtaken_wait_for_fresh_news_of_their_endpoint():
+    made = gatherer(proxies=3)
+    made.take("p0", told(1, [good(1, 10)], until=9000.0, sent=9000.0), 9000.0, 9000.0)
+    made.hand_over(9100.0)
+    made.take("p2", told(1, [good(1, 0, 6)], until=4000.0, sent=9150.0), 9150.0, 9150.0)
+    assert made.hand_over(9300.0)["sums"] == []
+    made.take("p0", told(2, [good(1, 10)], until=10000.0, sent=10000.0), 10000.0, 10000.0)
+    (row,) = made.hand_over(10100.0)["sums"]
+    assert (row[2], row[3]) == (pytest.approx(16.0), 0.0)
+
+
+def test_a_proxy_that_is_always_late_brings_all_its_flow_and_one_that_was_away_little_more_than_a_period():
+    late, away = gatherer(), gatherer()
+    for second in range(20):
+        now = 5000.0 + 1000.0 * second
+        late.take("p0", told(second, [good(1, 10)], until=now - 5000.0, sent=now), now, now)
+        away.take("p0", told(second, [good(1, 10)], until=1000.0 * second, sent=20000.0), 20000.0, 20000.0)
+    assert tries(late.hand_over(24100.0)) == pytest.approx(200.0)
+    assert tries(away.hand_over(20100.0)) <= 10 * 1.5 + 1e-6
 
 
 def test_sums_older_than_the_horizon_are_dropped_and_said():
