quillstep trace: which table priced an exchange, back to the round and its news

Need: when a proxy acknowledges one version while its pilot has moved on, nobody could tell which table an answer went by.

Change: quillstep/lineage reads the chain from both sides of the sockets: line and routes that an exchange was picked by, the response that brought them, order, sending, acknowledgement; with a capture the round's news, their ages, its orders and notes. A word lost with its stream is counted apart from a gap.

--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -378,6 +378,40 @@
     click.echo(msgspec.json.encode({"setting": path, "rows": rows}).decode())
 
 
+@cli.command()
+@click.argument("folder", type=click.Path(exists=True))
+@click.argument("exchange", required=False)
+@click.option("--all", "all_of_them", is_flag=True, help="How all answers of the run trace.")
+def trace(folder: str, exchange: str | None, all_of_them: bool) -> None:
+    """Which table priced an exchange: from its answer back to the round that ordered it, and the news that round had.
+
+    FOLDER is an arm of a played day.  The last line of standard output is one JSON object; status 1 if anything is
+    missing of a chain.
+    """
+    from quillstep.lineage.report import cause, lineage_of, summary, told
+
+    if bool(exchange) == all_of_them:
+        raise click.UsageError("name one exchange, or --all")
+    try:
+        lineage = lineage_of(Path(folder))
+        if all_of_them:
+            found = summary(lineage)
+            click.echo(msgspec.json.encode(found).decode())
+            sys.exit(1 if found["untraced"] else 0)
+        chain = lineage.trace(str(exchange))
+    except (FileNotFoundError, KeyError) as trouble:
+        click.echo(f"quillstep: {trouble}", err=True)
+        sys.exit(2)
+    links = []
+    for link in chain.links:
+        behind = cause(Path(folder), link) if link.round else None
+        links.append({**told(chain, link), "round_behind": msgspec.to_builtins(behind)})
+    found = {**chain._asdict(), "links": links, "gaps": chain.gaps}
+    Console(stderr=True).print_json(data=found)
+    click.echo(msgspec.json.encode(found).decode())
+    sys.exit(1 if chain.gaps else 0)
+
+
 @cli.group()
 def bench() -> None:
     """Measurements on loopback; the last line of standard output is one JSON object."""
--- a/quillstep/standins/follow.py
+++ b/quillstep/standins/follow.py
@@ -155,7 +155,7 @@
             self.ended.wait(dial_ms * (0.5 + self.proxy.draw()) / 1000.0)
 
     def record(self, **fields: Any) -> None:
-        self.proxy.host.record.put(at=now_ms(), proxy=self.proxy.name, **fields)
+        self.proxy.host.record.put(**{"at": now_ms(), "proxy": self.proxy.name, **fields})
 
     def follow(self, client: GrpcClient) -> None:
         self.stream = client.open(self.path)
@@ -223,7 +223,7 @@
         self.stand_still(len(response.resources) + len(response.removed_resources))
         word = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url, response_nonce=response.nonce)
         changed = [(resource.name, resource.version) for resource in response.resources]
-        note = {"type": response.type_url.rpartition(".")[2], "nonce": response.nonce,
+        note: dict[str, Any] = {"type": response.type_url.rpartition(".")[2], "nonce": response.nonce,
                 "system": response.system_version_info, "changed": changed,
                 "removed": list(response.removed_resources), "bytes": len(data)}  # fmt: skip
         try:
@@ -231,6 +231,7 @@
                 raise ValueError("told to refuse")
             with self.proxy.lock:
                 word.resource_names_subscribe.extend(self.apply(response, word))
+                note["at"] = now_ms()  # whoever picks by it does so later: both hold the lock
         except (ValueError, DecodeError) as trouble:
             word.error_detail.code, word.error_detail.message = 3, str(trouble)
             self.record(what="refused", reason=str(trouble), **note)
@@ -357,7 +358,7 @@
         url = response.type_url
         self.stand_still(len(response.resources))
         version, _ = self.newest.get(url, ("", ""))
-        note = {"type": url.rpartition(".")[2], "nonce": response.nonce, "bytes": len(data),
+        note: dict[str, Any] = {"type": url.rpartition(".")[2], "nonce": response.nonce, "bytes": len(data),
                 "system": response.control_plane.identifier, "changed": [["*", response.version_info]],
                 "removed": []}  # fmt: skip
         word = discovery_pb2.DiscoveryRequest(type_url=url, response_nonce=response.nonce)
@@ -367,6 +368,7 @@
                 raise ValueError("told to refuse")
             with self.proxy.lock:
                 asks = self.apply(url, response)
+                note["at"] = now_ms()  # whoever picks by it does so later: both hold the lock
             version = response.version_info
         except (ValueError, DecodeError) as trouble:
             word.error_detail.code, word.error_detail.message = 3, str(trouble)
--- a/quillstep/standins/follow_files.py
+++ b/quillstep/standins/follow_files.py
@@ -76,7 +76,7 @@
         self.thread.join()
 
     def record(self, **fields: Any) -> None:
-        self.proxy.host.record.put(at=now_ms(), proxy=self.proxy.name, **fields)
+        self.proxy.host.record.put(**{"at": now_ms(), "proxy": self.proxy.name, **fields})
 
     def run(self) -> None:
         while not self.ended.is_set():
@@ -122,7 +122,6 @@
             what="stream", up=False, pilot=root, reason="left it" if self.ended.is_set() else "silent"
         )
 
-
     @staticmethod
     def current(link: str) -> int:
         try:
@@ -151,7 +150,7 @@
         versions = self.held.versions
         changed = [(n, v) for url in new for n, v in new[url].items() if versions.get(url, {}).get(n) != v]
         removed = [n for url, old in versions.items() for n in old if n not in new.get(url, {})]
-        note = {"type": "files", "nonce": f"{told.origin}.g{told.generation}", "changed": changed,
+        note: dict[str, Any] = {"type": "files", "nonce": f"{told.origin}.g{told.generation}", "changed": changed,
                 "removed": removed, "bytes": sum(len(data) for data in files.values()),
                 "system": f"{told.origin}/{told.order}/{told.ordered_ms:.1f}"}  # fmt: skip
         with self.proxy.lock:
@@ -162,6 +161,7 @@
                 raise ValueError(broken or "told to refuse")
             with self.proxy.lock:
                 self.apply(resources, new)
+                note["at"] = now_ms()  # whoever picks by it does so later: both hold the lock
         except ValueError as trouble:
             answer["refused"] = str(trouble)
             self.record(what="refused", reason=str(trouble), **note)
--- a/quillstep/standins/proxies.py
+++ b/quillstep/standins/proxies.py
@@ -218,7 +218,8 @@
                 self.met(name).counts[2] += 1
             self.host.record.put(**note, end=now_ms(), outcome="refused", tries=[])
             return
-        route = self.held.routes.get(name)
+        with self.lock:
+            route, went_by = self.held.routes.get(name), self.held.routes_version
         tries_left = route.tries if route else self.host.base_tries
         more = self.host.further(tries_left)
         tried: list[tuple] = []
@@ -250,9 +251,8 @@
                 self.met(name).answered(now_ms() - at)
             else:
                 self.met(name).counts[1] += 1
-        version = self.held.routes_version
         self.host.record.put(
-            **note, end=now_ms(), outcome=outcome, tries=tried, mode=tries_left, routes=version
+            **note, end=now_ms(), outcome=outcome, tries=tried, mode=tries_left, routes=went_by
         )
 
     def try_once(
--- /dev/null
+++ b/tests/test_lineage.py
@@ -0,0 +1,175 @@
+"""Which table priced an exchange: chains that are whole, what is missing of those that are not, and why a round was."""
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from fleet import fleet, small_day
+
+from quillstep.cli.main import cli
+from quillstep.day.plan import plan
+from quillstep.day.run import Arm
+from quillstep.lineage.chain import Lineage
+from quillstep.lineage.news import concerns, why
+from quillstep.lineage.report import lineage_of, summary
+from quillstep.rulecheck import Evidence, judge
+
+EPOCH = "pilot-0-77"
+LINE = "xdstp://quillstep/envoy.config.endpoint.v3.LbEndpoint/table-0/5"
+
+
+def applied(at, nonce, changed, kind="LbEndpoint", order=4):
+    return {"at": at, "proxy": "p", "type": kind, "nonce": f"{EPOCH}.{nonce}", "system": f"{EPOCH}/{order}/900.0",
+            "changed": changed, "removed": []}  # fmt: skip
+
+
+def sent(at, nonce, order=4):
+    return {"what": "send", "at": at, "proxy": "p", "nonce": f"{EPOCH}.{nonce}", "order": order}
+
+
+def ack(at, nonce):
+    return {"what": "ack", "at": at, "proxy": "p", "nonce": f"{EPOCH}.{nonce}"}
+
+
+def made(rows, words, version="v1", streams=()):
+    exchange = {"exchange": "x", "proxy": "p", "class": "lookup", "at": 2000.0, "end": 2050.0, "outcome": "ok",
+                "tries": [["127.0.0.1:9", 2001.0, 2050.0, "ok", version]], "routes": ""}  # fmt: skip
+    evidence = Evidence(fleet(), exchanges=[exchange], applied=rows, sent=words, streams=list(streams))
+    return Lineage(evidence.sort())
+
+
+def test_a_whole_chain_goes_from_the_answer_to_the_round():
+    (link,) = made([applied(1010.0, 1, [[LINE, "v1"]])], [sent(1000.0, 1), ack(1012.0, 1)]).trace("x").links
+    assert (link.pilot, link.round, link.nonce, link.resource, link.gap) == (EPOCH, 4, f"{EPOCH}.1", LINE, "")
+    assert (link.ordered_ms, link.sent_ms, link.applied_ms, link.acknowledged_ms) == (
+        900.0,
+        1000.0,
+        1010.0,
+        1012.0,
+    )
+
+
+def test_the_newest_application_before_the_try_is_the_one_it_went_by():
+    rows = [applied(1010.0, 1, [[LINE, "v1"]]), applied(1500.0, 3, [[LINE, "v1"]], order=9),
+            applied(2002.0, 5, [[LINE, "v1"]], order=11)]  # fmt: skip
+    words = [
+        sent(1000.0, 1),
+        ack(1012.0, 1),
+        sent(1490.0, 3, 9),
+        ack(1510.0, 3),
+        sent(1990.0, 5, 11),
+        ack(2003.0, 5),
+    ]
+    assert made(rows, words).trace("x").links[0].round == 9
+
+
+@pytest.mark.parametrize(
+    ("rows", "words", "streams", "gap"),
+    [
+        ([], [], (), "no response that it applied held this version"),
+        ([applied(2500.0, 1, [[LINE, "v1"]])], [sent(2490.0, 1), ack(2501.0, 1)], (),
+         "no response that it applied held this version"),  # only after the try
+        ([applied(1010.0, 1, [[LINE, "v1"]], "RouteConfiguration")], [sent(1000.0, 1)], (),
+         "no response that it applied held this version"),  # another type's version of the same name
+        ([applied(1010.0, 1, [[LINE, "v1"]])], [ack(1012.0, 1)], (), "no record of its sending"),
+        ([applied(1010.0, 1, [[LINE, "v1"]])], [sent(1000.0, 1, 7), ack(1012.0, 1)], (), "sent as order 7"),
+        ([applied(1010.0, 1, [[LINE, "v1"]])], [sent(1000.0, 1), sent(1900.0, 2), ack(1950.0, 2)], (),
+         "no acknowledgement"),  # a later word of the same stream came, this one never did
+    ],
+)  # fmt: skip
+def test_what_is_missing_of_a_chain_is_said(rows, words, streams, gap):
+    lineage = made(rows, words, streams=streams)
+    assert lineage.trace("x").gaps == [f"line: {gap}"]
+    assert summary(lineage)["untraced"] == 1
+
+
+def test_a_word_that_was_lost_with_its_stream_is_counted_apart_and_is_no_gap():
+    ended = {"at": 1011.0, "proxy": "p", "up": False, "pilot": "a"}
+    later = [sent(1000.0, 1), sent(1500.0, 2), ack(1510.0, 2)]
+    lineage = made([applied(1010.0, 1, [[LINE, "v1"]])], later, streams=[ended])
+    found = summary(lineage)
+    assert (found["untraced"], found["word_lost"]) == (0, 1)
+
+
+def test_the_standing_table_is_nobodys_order():
+    lineage = made([], [], "standing")
+    assert lineage.trace("x").gaps == [] and summary(lineage)["standing"] == 1
+
+
+@pytest.mark.parametrize(
+    ("order", "resource", "expected"),
+    [
+        (["line", 0, 5, 10.0], LINE, True),
+        (["line", 1, 5, 10.0], LINE, False),
+        (["line", 0, 55, 10.0], LINE, False),
+        (["withdraw", 5, True], LINE, True),
+        (["level", 0, [1], 3.0, 1], "exchanges", True),
+        (["level", 0, [1], 3.0, 1], LINE, False),
+    ],
+)
+def test_orders_are_told_of_the_resource_that_was_asked_for(order, resource, expected):
+    assert concerns(order, resource) is expected
+
+
+def test_a_round_is_told_with_its_news_and_their_ages():
+    heard = [[3, 800.0, 400.0, 1000.0, 5.0, 9, 0.0]]
+    records = [
+        ["probe", 90.0, 95.0, 1, True, 3.0, {}],
+        ["orders", 100.0, 100.0, 3, [["line", 0, 5, 9.0]]],
+        ["roster", 850.0, 860.0, "partial", [[5, "a", "terminating", 1.0, 0.0]], []],
+        ["reports", 870.0, 870.0, 0, {"heard": heard}],
+        ["sent", 880.0, 880.0, "send", {}],
+        ["orders", 900.0, 900.0, 4, [["withdraw", 5, True], ["note", "it drains"], ["line", 0, 6, 2.0]]],
+    ]
+    found = why(records, 4, LINE)
+    assert (
+        found
+        and found.news == {"roster": 1, "reports": 1}
+        and found.oldest_ms == {"roster": 50.0, "reports": 500.0}
+    )
+    assert found.orders == [["withdraw", 5, True]] and found.notes == ["it drains"]
+    assert found.told[0] == "roster, partial: 5 terminating, 50 ms before"
+    assert why(records, 9, LINE) is None
+
+
+@pytest.fixture(scope="module")
+def rough(tmp_path_factory):
+    """Two pilots, one killed; both fronts and both kinds of streams; refusals, moves, levels that change."""
+    day = small_day(
+        seconds=8.0, proxies=10, pilots=2, capture=True, sotw_proxies=0.2, file_proxies=0.3, exchanges_per_s=120.0,
+        phases=[{"at_s": 2.0, "for_s": 3.0, "times": 3.0}],
+        troubles=[
+            {"at_s": 1.0, "for_s": 1.0, "what": "proxy_refuses", "count": 3},
+            {"at_s": 1.5, "for_s": 3.0, "what": "drain", "count": 1},
+            {"at_s": 2.5, "for_s": 1.0, "what": "proxy_moves", "count": 2},
+            {"at_s": 3.0, "for_s": 2.0, "what": "pilot_kill", "count": 1},
+        ],
+    )  # fmt: skip
+    arm = Arm(day, plan(day), "learnt", tmp_path_factory.mktemp("lineage") / "learnt")
+    import time
+
+    try:
+        arm.start()
+        arm.play(time.monotonic() * 1000.0 + day.warm_up_s * 1000.0)
+    finally:
+        arm.stop()
+    return arm
+
+
+def test_every_answer_of_a_rough_day_traces(rough):
+    assert judge(rough.evidence()) == []
+    found = summary(lineage_of(rough.folder))
+    assert found["untraced"] == 0, found["gaps"]
+    assert found["answers"] > 600 and found["rounds"] > 3
+
+
+def test_the_command_tells_of_one_and_of_all_and_of_none(rough):
+    run = CliRunner().invoke
+    lineage = lineage_of(rough.folder)
+    answered = [row["exchange"] for row in rough.evidence().exchanges if row["outcome"] == "ok"]
+    named = next(e for e in answered if all(link.round for link in lineage.trace(e).links))
+    one = run(cli, ["--log-level", "error", "trace", str(rough.folder), named])
+    told = msgspec.json.decode(one.stdout.splitlines()[-1])
+    assert one.exit_code == 0 and told["exchange"] == named and told["links"][0]["round_behind"]["news"]
+    every = run(cli, ["--log-level", "error", "trace", str(rough.folder), "--all"])
+    assert every.exit_code == 0 and msgspec.json.decode(every.stdout.splitlines()[-1])["untraced"] == 0
+    assert run(cli, ["--log-level", "error", "trace", str(rough.folder), "no-such"]).exit_code == 2
