A withdrawal that is refused is tried again: drains must be kept

Change: a refused withdrawal is tried again after 100 ms, doubled up to 6.4 s, on both fronts, until it holds or is let back; all else that is refused stays set apart until it changes. The log says which.

--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -353,8 +353,8 @@
             generation = lane.next(self.tables, now_ms)
             if generation:
                 self.hand_over(directory, lane, generation)
-            elif not lane.writing and (ledger := self.tables.ledgers[proxy]).apart:
-                self.waits[proxy] = max(now_ms + 1.0, ledger.not_before_ms)
+            elif not lane.writing and (look_ms := self.tables.ledgers[proxy].look_ms()) is not None:
+                self.waits[proxy] = max(now_ms + 1.0, look_ms)
             elif now_ms < lane.retry_ms:
                 self.waits[proxy] = lane.retry_ms
         if now_ms - self.tended_ms > 0.25 * self.facts.silent_ms:
--- a/quillstep/tables/ledger.py
+++ b/quillstep/tables/ledger.py
@@ -23,7 +23,8 @@
 
 
 class Refusal(NamedTuple):
-    """What a proxy refused and why; `alone` if it was the only change, so that it is set apart."""
+    """What a proxy refused and why; `alone` if it was the only change, so that it is set apart; a withdrawal that is
+    set apart is tried again after a back-off, for drains must be kept."""
 
     changes: list[Change]
     reason: str
@@ -51,6 +52,8 @@
     flights: dict[str, Flight] = field(default_factory=dict)  # by nonce
     sent: dict[Key, tuple[str | None, str, int]] = field(default_factory=dict)  # newest under way
     refused: dict[Key, str | None] = field(default_factory=dict)  # versions that must not be repeated
+    again: dict[Key, float] = field(default_factory=dict)  # refused withdrawals, and when to try them again
+    insisted: dict[Key, int] = field(default_factory=dict)  # how often each has been refused
     apart: deque[list[Key]] = field(default_factory=deque)  # parts of a refused piece, tried one by one
     released: int = 0  # orders up to this one have left the channel
     bound: dict[int, int] = field(default_factory=dict)  # class to table
@@ -92,6 +95,12 @@
         Keys that turn out not to differ are settled; keys that can't go yet stay marked.  `together`: the front
         hands all of it over as one set that is applied as a whole, so that nothing has to wait for anything.
         """
+        # A drain must be kept whatever was refused a moment ago.  Found in a played day: a proxy that refused all for a
+        # second refused a withdrawal, was never told again, and went on trying the endpoint.
+        for key in [key for key, due_ms in self.again.items() if due_ms <= now_ms]:
+            del self.again[key]
+            if self.refused.pop(key, None) is not None:
+                self.mark(key, self.released)
         if self.apart:
             return self.take_apart(now_ms, wants, desired)
         found: list[Change] = []
@@ -189,6 +198,7 @@
             else:
                 self.held.pop(key, None)
             self.refused.pop(key, None)
+            self.insisted.pop(key, None)
             if key in self.sent and self.sent[key][1] == nonce:
                 del self.sent[key]
         self.refusals = 0
@@ -217,9 +227,21 @@
         if not alone and keys:
             self.apart.extend(parts(keys))
         self.not_before_ms = now_ms + BACK_OFF_MS * min(BACK_OFF_MOST, 2.0**self.refusals)
+        if alone:
+            for key in keys:
+                if key[0] == OUT and self.refused[key]:
+                    times = self.insisted[key] = self.insisted.get(key, 0) + 1
+                    self.again[key] = now_ms + BACK_OFF_MS * min(BACK_OFF_MOST, 2.0 ** (times - 1))
         self.refusals += 1
         return Refusal(flight.changes, reason, alone)
 
+    def look_ms(self) -> float | None:
+        """When something that was refused is to be tried again; None: nothing is."""
+        waits = [*self.again.values()]
+        if self.apart:
+            waits.append(self.not_before_ms)
+        return min(waits, default=None)
+
     def receipts(self) -> list[int]:
         """The receipts that are complete by now, oldest first; each is given out once.
 
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -11,6 +11,7 @@
 
 from quillstep.settings import PilotRecord
 from quillstep.tables import Refusal, Tables
+from quillstep.tables.content import OUT
 from quillstep.xds import resources
 from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
@@ -147,8 +148,8 @@
             for response in self.streams[at].pump(now_ms):
                 self.carry(proxy, at, response, now_ms)
             ledger = self.tables.ledgers.get(proxy)
-            if ledger and ledger.apart:
-                self.held_back[proxy] = max(now_ms, ledger.not_before_ms)
+            if ledger and (look_ms := ledger.look_ms()) is not None:
+                self.held_back[proxy] = max(now_ms, look_ms)
         if now_ms - self.tended_ms > TEND_MS:
             self.tended_ms = now_ms
             self.tend(now_ms)
@@ -201,10 +202,18 @@
         table=named[0] + (f" and {len(named) - 1} more" if len(named) > 1 else ""),
         version=version,
         reason=refusal.reason[:500],
-        next="set apart until it changes" if refusal.alone else "tried in parts",
+        next=next_step(refusal),
     )
 
 
+def next_step(refusal: Refusal) -> str:
+    """What comes of a refusal, in words."""
+    if not refusal.alone:
+        return "tried in parts"
+    withdrawn = any(change.key[0] == OUT and change.content for change in refusal.changes)
+    return "a withdrawal: tried again after a back-off" if withdrawn else "set apart until it changes"
+
+
 def warn_overdue(
     tables: Tables, proxy: int, node: str, record: PilotRecord, warned: set, now_ms: float, log: Any
 ) -> None:
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -20,7 +20,7 @@
 from quillstep.bench.sampling import sampled
 from quillstep.capture import lives, read_life
 from quillstep.day.plan import plan
-from quillstep.day.run import Arm
+from quillstep.day.run import Arm, play_arm
 from quillstep.replay.faithful import Replay
 from quillstep.reports.ageing import HALVES, Delay, Numbers, horizon_ms, weight
 from quillstep.reports.desk import Desk
@@ -796,6 +796,28 @@
     assert Replay(life.header).play(read_life(life)).identical
 
 
+@pytest.mark.parametrize(
+    ("pilots", "more", "trouble"),
+    [
+        (2, {}, [{"at_s": 2.5, "for_s": 2.0, "what": "pilot_kill"}]),
+        (1, {"message_most_bytes": 1024}, []),  # reports in full are larger than the limit, again and again
+    ],
+)
+def test_a_drain_told_while_a_pilot_dies_or_reports_are_too_large_is_kept(tmp_path, pilots, more, trouble):
+    day = small_day(
+        seconds=6.0, proxies=12, pilots=pilots, endpoints=[{"each_zone": 8}],
+        reports={"by": "processes", "listen": ["127.0.0.1:0"], **more},
+        troubles=[
+            {"at_s": 0.2, "for_s": 6.0, "what": "reports_heavy", "count": 12},
+            {"at_s": 2.7, "for_s": 3.0, "what": "drain", "zone": "a", "count": 1}, *trouble,
+        ],
+    )  # fmt: skip
+    arm = play_arm(day, tmp_path / "learnt")
+    assert judge(arm.evidence()) == []
+    log = (arm.folder / "pilot-0.log").read_text()
+    assert ("reads only" in log or "larger than" in log or "stream ended" in log) is bool(more)
+
+
 def test_a_report_that_is_too_large_ends_its_stream_and_nothing_else(tmp_path):
     day = small_day(pilots=1, reports={"message_most_bytes": 4096})
     arm = Arm(day, plan(day), "learnt", tmp_path / "learnt")
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -87,6 +87,22 @@
     assert pilot.core.tables.ledgers[0].refused.keys() == {(LINE, 0, 3)}
 
 
+def test_a_withdrawal_that_is_refused_is_tried_again_more_and_more_rarely_until_it_holds():
+    """A refusal that later holds: the drain is kept, and no message limit is broken by trying."""
+    pilot = MemoryPilot()
+    proxy = pilot.join("p")
+    pilot.run(3000.0)
+    proxy.refuses = lambda response: any("withdrawn/3" in r.name for r in response.resources)
+    pilot.roster("partial", [3], "terminating")
+    before = len(proxy.log)
+    pilot.run(10000.0)
+    tried = [names for _, names, _ in proxy.log[before:] if any("withdrawn/3" in name for name in names)]
+    assert 5 <= len(tried) <= 10 and (OUT, 3) not in pilot.core.tables.ledgers[0].held
+    proxy.refuses = False
+    pilot.run(7000.0)
+    assert (OUT, 3) in pilot.core.tables.ledgers[0].held and not pilot.core.tables.ledgers[0].again
+
+
 def test_what_was_refused_once_is_sent_when_it_is_ordered_anew():
     pilot = settled()
     proxy = pilot.proxies["p0"]
