--- a/quillstep/charts.py
+++ b/quillstep/charts.py
@@ -60,9 +60,9 @@
                    color=colour, label=f"{kind} reports")  # fmt: skip
     for at, row in enumerate(rows):
         if row["rules_broken"]:
-            drains.text(at, 1.0, f"{row['rules_broken']} broken", rotation=90, ha="center", fontsize=7)
+            drains.text(at, row["last_ack_ms_with"][0], f"{row['rules_broken']}\nbroken", ha="center", fontsize=7)
     drains.set_yscale("log")
-    drains.set_ylabel("ms to the last acknowledgement of a drain, median")
+    drains.set_ylabel("ms to a drain's last acknowledgement")
     drains.legend()
     own = [row["pilot_cpu"] - (0.0 if row["by"] == "processes" else row["readers_cpu"]) for row in rows]
     work.bar(places, own, color="tab:gray", label="pilot without reading")
@@ -70,7 +70,7 @@
     work.set_ylabel("cores")
     work.legend()
     for axes in (drains, work):
-        axes.set_xticks(list(places), names, fontsize=7)
+        axes.set_xticks(list(places), names, fontsize=7, rotation=45)
     figure.suptitle("Loopback, 92 endpoints, reports of 92 rows once a second a proxy")
     figure.tight_layout()
     figure.savefig(path, dpi=110)
