Mend what a second reading found in the reports: dead state, work done twice

Need: a reread of the change found a processor count that nobody asked, an age kept for nobody, a window's work computed in three places, a clock written again, and a leaving proxy that had all arrivals of all proxies copied.

Change: the first two are gone, the third is computed once, the reader takes the poller's clock, a leave drops its own rows. Behaviour is as it was.

--- a/quillstep/reports/gather.py
+++ b/quillstep/reports/gather.py
@@ -51,7 +51,8 @@
         self.newest: dict[tuple[str, int], float] = {}
         self.carried: dict[tuple[str, int], float] = {}  # tries that wait for fresh news of their endpoint
         self.window = Window()
-        self.work = 0.0  # that may be done now
+        self.window_work = facts.work_per_s * facts.window_ms / 1000.0
+        self.work = self.window_work  # that may be done now
         self.work_ms: float | None = None
         self.done = 0.0  # work since the last hand-over
         self.void: dict[str, int] = {}  # reports that did not count, by reason, since the last hand-over
@@ -104,10 +105,10 @@
     def room(self, now_ms: float) -> float:
         """Work that may be done now; a window's worth at most gathers."""
         if self.work_ms is None:
-            self.work_ms, self.work = now_ms, self.facts.work_per_s * self.facts.window_ms / 1000.0
-        most = self.facts.work_per_s * self.facts.window_ms / 1000.0
+            self.work_ms = now_ms
         self.work = min(
-            max(most, self.work), self.work + (now_ms - self.work_ms) * self.facts.work_per_s / 1000.0
+            max(self.window_work, self.work),
+            self.work + (now_ms - self.work_ms) * self.facts.work_per_s / 1000.0,
         )
         self.work_ms = now_ms
         return self.work
@@ -120,15 +121,14 @@
         if held is not None and (later := held.may_read(now_ms)):
             self.complain(name, "reports more often than asked", now_ms)
             return later
-        most = self.facts.work_per_s * self.facts.window_ms / 1000.0
-        cost = min(work_of(size), most)
+        cost = min(work_of(size), self.window_work)
         if self.room(now_ms) + 1e-6 < cost:
             return now_ms + (cost - self.work) * 1000.0 / self.facts.work_per_s
         return 0.0
 
     def spend(self, size: int) -> float:
         """Charge for a message that is about to be read; returns what it costs."""
-        cost = min(work_of(size), self.facts.work_per_s * self.facts.window_ms / 1000.0)
+        cost = min(work_of(size), self.window_work)
         self.work -= cost
         self.done += cost
         return work_of(size)
--- a/quillstep/reports/intake.py
+++ b/quillstep/reports/intake.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from typing import Any
 
@@ -29,6 +30,7 @@
         self.usual_ms = fleet.proxies.report_every_ms
         self.period_ms = INTAKE_PART * self.usual_ms
         self.ageing = facts.ageing
+        self.classes = len(fleet.classes)
         self.since_ms = float("-inf")
         self.first_ms = 0.0  # when the first came of what has gathered
         self.sums: dict[tuple[str, int], list[list[Any]]] = {}
@@ -44,9 +46,8 @@
         self.window_work = facts.work_per_s * facts.window_ms / 1000.0
         self.longest_ms = max(row.cut_off_ms for row in fleet.classes) * 10.0
         self.latency: dict[tuple[str, int], HdrHistogram] = {}
-        self.stats: dict[str, float] = {}
-        self.void: dict[str, int] = {}
-        self.oldest_ms = 0.0
+        self.stats: defaultdict[str, float] = defaultdict(float)
+        self.void: Counter[str] = Counter()
         self.bounded: set[int] = set()  # proxies whose word has been bounded
 
     def joined(self, proxy: int, now_ms: float) -> None:
@@ -58,7 +59,8 @@
             self.sampler.left(proxy)
         self.rates.pop(proxy, None)
         self.bounded.discard(proxy)
-        self.told = {key: at for key, at in self.told.items() if key[1] != proxy}
+        for place in range(self.classes):
+            self.told.pop((place, proxy), None)
 
     def take(self, found: dict[str, Any], now_ms: float) -> None:
         """One gatherer's window."""
@@ -73,9 +75,8 @@
                 continue  # what is known of it is newer
             self.told[key] = max(until_ms, self.told.get(key, float("-inf")))
             self.arrivals.setdefault(key, []).append([arrived, unanswered, covers_ms])
-        for proxy, arrived_ms, until_ms, covers_ms, rows, arrived, failing in found["heard"]:
-            self.heard(proxy, until_ms, covers_ms, rows, arrived, failing, now_ms)
-            self.oldest_ms = max(self.oldest_ms, arrived_ms - until_ms)
+        for proxy, _, _, covers_ms, rows, arrived, failing in found["heard"]:
+            self.heard(proxy, covers_ms, rows, arrived, failing, now_ms)
         for zone, place, mean_ms, count in found["took"]:
             self.histogram(zone, place).record_value(
                 max(1, min(round(self.longest_ms), round(mean_ms))), count
@@ -84,7 +85,7 @@
             self.count(reason, count)
         if found["overtaken"]:
             self.count("overtaken rows", found["overtaken"])
-        self.stats["work"] = self.stats.get("work", 0.0) + found["work"]
+        self.stats["work"] += found["work"]
         if self.sampler and found["work"] > PRESSED * self.window_work:
             self.sampler.pressed(now_ms)
 
@@ -100,20 +101,19 @@
             return
         self.newest[key] = max(newest, until_ms)
         self.sums.setdefault(key, []).append(row)
-        self.stats["tries"] = self.stats.get("tries", 0.0) + row[2] + row[3]
+        self.stats["tries"] += row[2] + row[3]
 
     def heard(
         self,
         proxy: int,
-        until_ms: float,
         covers_ms: float,
         rows: int,
         arrived: int,
         failing: float,
         now_ms: float,
     ) -> None:
-        self.stats["reports"] = self.stats.get("reports", 0) + 1
-        self.stats["rows"] = self.stats.get("rows", 0) + max(0.0, rows)
+        self.stats["reports"] += 1
+        self.stats["rows"] += max(0.0, rows)
         if covers_ms > 0.0:
             rate = self.rates.get(proxy, 0.0)
             self.rates[proxy] = rate + (1.0 - KEEPS) * (arrived * 1000.0 / covers_ms - rate)
@@ -121,7 +121,7 @@
             self.sampler.heard(proxy, covers_ms, rows, arrived, failing, now_ms)
 
     def count(self, reason: str, times: int = 1) -> None:
-        self.void[reason] = self.void.get(reason, 0) + times
+        self.void[reason] += times
 
     def histogram(self, zone: str, place: int) -> HdrHistogram:
         held = self.latency.get((zone, place))
--- a/quillstep/reports/processes.py
+++ b/quillstep/reports/processes.py
@@ -33,7 +33,6 @@
         self.places = Places(record.fleet.proxies.report_every_ms)
         self.lock = threading.Lock()
         self.addresses = list(record.reports.listen)
-        self.children: list[subprocess.Popen | None] = [None] * len(self.addresses)
         self.says: list[queue.SimpleQueue[bytes | None]] = [queue.SimpleQueue() for _ in self.addresses]
         self.stopping = threading.Event()
         self.log = structlog.get_logger("reports")
@@ -63,7 +62,6 @@
         opening = [self.addresses[at], record.reports.model_dump(), record.fleet.model_dump(),
                    record.limits.model_dump()]  # fmt: skip
         with self.lock:
-            self.children[at] = child
             says: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
             self.says[at] = says
             says.put(framed(opening))
@@ -77,7 +75,6 @@
                     self.heard(at, ready, message)
         says.put(None)
         with self.lock:
-            self.children[at] = None
             self.places.ended(at)
         child.stdout.close()
         child.wait()
@@ -124,16 +121,6 @@
                 if each.proxy in names:
                     self.say(self.places.ask(each.proxy, names[each.proxy], list(dataclasses.astuple(each))))
 
-    def cpu_s(self) -> float:
-        """Processor time of all reading processes by now, seconds."""
-        ticks = 0
-        for child in self.children:
-            if child is not None:
-                with contextlib.suppress(OSError), open(f"/proc/{child.pid}/stat") as file:
-                    row = file.read().rpartition(")")[2].split()
-                    ticks += int(row[11]) + int(row[12])
-        return ticks / os.sysconf("SC_CLK_TCK")
-
     def stop(self) -> None:
         self.stopping.set()
         for says in self.says:
--- a/quillstep/reports/reader.py
+++ b/quillstep/reports/reader.py
@@ -11,6 +11,7 @@
 from quillstep.reports.gather import Asked, Gatherer
 from quillstep.reports.guard import Account
 from quillstep.settings import FleetRecord, ReportsRecord
+from quillstep.xds.poller import now_ms
 from quillstep.xds.server import Peer
 
 IDLE_S = 0.5
@@ -102,7 +103,3 @@
     for name, text in gatherer.complaints:
         log.warning("load report doubted", proxy=name, reason=text)
     gatherer.complaints = []
-
-
-def now_ms() -> float:
-    return time.monotonic() * 1000.0
