--- a/quillstep/day/plan.py
+++ b/quillstep/day/plan.py
@@ -12,6 +12,9 @@
     "proxy_refuses": "refuse",
     "proxy_reads_nothing": "reads_nothing",
     "proxy_cut": "cut",
+    "proxy_slow_lines": "slow_lines",
+    "proxy_late_words": "late_words",
+    "proxy_loses": "loses",
     "reports_late": "reports_late",
     "reports_heavy": "reports_heavy",
     "reports_cut": "reports_cut",
@@ -64,6 +67,9 @@
     """The steps of one trouble."""
     at, until, for_ms = trouble.at_s, trouble.at_s + trouble.for_s, trouble.for_s * 1000.0
     what = trouble.what
+    if what == "tighten":
+        made.steps.append((at, "settings", {"do": what, "kind": trouble.kind, "for_ms": for_ms}))
+        return
     if what.startswith("pilot"):
         for pilot in chance.sample(range(day.pilots), min(trouble.count, day.pilots)):
             made.steps.append((at, "pilot", {"do": what, "pilot": pilot}))
@@ -71,6 +77,8 @@
         return
     if what.startswith(("proxy", "reports")):
         fit = [row["name"] for row in made.proxies if trouble.zone in ("", row["zone"])]
+        if what == "proxy_loses":  # a client of whole states has one response of a type at a time: none comes after it
+            fit = [row["name"] for row in made.proxies if row["name"] in fit and not (row["sotw"] or row["files"])]
         if what == "proxy_moves":  # whole states tell no versions of lines to take along
             fit = [row["name"] for row in made.proxies if row["name"] in fit and not row["sotw"]]
         for name in chance.sample(fit, min(trouble.count, len(fit))):
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -16,9 +16,10 @@
 from quillstep.day.plan import Plan, plan
 from quillstep.day.service import service
 from quillstep.rulecheck import Evidence, judge, longest_channel, read_evidence, slowest_drain
-from quillstep.settings import DayRecord, PilotRecord
+from quillstep.settings import DayRecord, FleetRecord, PilotRecord
 
 SETTLE_S = 60.0
+LOOK_S = 0.02  # between two looks at what pilots have written down
 
 
 def now_ms() -> float:
@@ -36,6 +37,7 @@
         self.children: list[Child] = []
         self.pilots: list[Child | None] = []
         self.addresses: list[str] = []
+        self.tightened: list[str] = []  # classes that pilots hold for unsafe by now
         self.report_addresses: dict[int, list[str]] = {}  # of each pilot's reading processes
         self.ports: dict[int, int] = {}
         self.hosts: dict[int, Child] = {}
@@ -94,7 +96,7 @@
         listen = self.report_addresses.get(at, self.day.reports.listen)
         record = PilotRecord(
             name=f"pilot-{at}", seed=self.day.seed + at, listen=self.addresses[at], roster=self.roster_address,
-            decides=self.decides, fleet=self.day.fleet, limits=self.day.limits,  # type: ignore[arg-type]
+            decides=self.decides, fleet=self.fleet(), limits=self.day.limits,  # type: ignore[arg-type]
             files=self.day.files.model_copy(update={"root": self.root(at) if self.with_files else ""}),
             reports=self.day.reports.model_copy(update={"listen": listen}),
             capture={"folder": str(self.folder / f"capture-{at}")} if self.day.capture else {},  # type: ignore[arg-type]
@@ -107,6 +109,16 @@
         self.report_addresses[at] = pilot.last.get("reports", [])
         self.pilots[at] = pilot
 
+    def fleet(self) -> FleetRecord:
+        """The fleet as pilots are told of it: classes that were tightened are unsafe."""
+        rows = [
+            row.model_copy(update={"semantics": "unsafe", "scope": "", "window_ms": 0.0})
+            if row.name in self.tightened
+            else row
+            for row in self.day.fleet.classes
+        ]
+        return self.day.fleet.model_copy(update={"classes": rows})
+
     def start_proxies(self) -> None:
         day = self.day
         count = min(day.proxy_processes, len(self.made.proxies))
@@ -174,6 +186,8 @@
             if command.pop("began", False):
                 command.update(began=now_ms(), started_ms=time.time() * 1000.0)
             self.roster.say(**command)
+        elif part == "settings":
+            threading.Thread(target=self.tighten, args=(command["kind"], command["for_ms"]), daemon=True).start()
         elif self.pilots:
             self.pilot_step(command["do"], command["pilot"])
 
@@ -189,6 +203,39 @@
         elif pilot and do == "pilot_stall_over":
             os.kill(pilot.process.pid, signal.SIGCONT)
 
+    def tighten(self, kind: str, for_ms: float) -> None:
+        """As an operator would: new settings at all pilots, one after another; when these say that the tighter way is
+        in force, and then only, endpoints forget to drop repeats.  Not at all if that takes longer than told."""
+        self.tightened.append(kind)
+        begun, until = now_ms(), now_ms() + for_ms
+        for at, pilot in enumerate(self.pilots):
+            if pilot:
+                pilot.kill()
+                self.start_pilot(at)
+        while now_ms() < until and not self.in_force(kind, begun):
+            time.sleep(LOOK_S)
+        if now_ms() < until:
+            for host in set(self.hosts.values()):
+                host.say(do="tighten", kind=kind)
+
+    def in_force(self, kind: str, begun_ms: float) -> bool:
+        """Whether the pilots say so of all proxies since a moment, each by the one that it came to last."""
+        came: dict[str, tuple[float, int]] = {}  # when it came last, to whom
+        loose: dict[tuple[str, int], bool] = {}
+        for at in range(len(self.pilots)):
+            for line in (self.folder / f"pilot-{at}.jsonl").read_bytes().splitlines():
+                if b'"what":"way"' not in line and b'"what":"join"' not in line:
+                    continue
+                row = msgspec.json.decode(line)
+                if row["at"] >= begun_ms and row["what"] == "join":
+                    came[row["proxy"]] = max(came.get(row["proxy"], (0.0, 0)), (row["at"], at))
+                elif row["at"] >= begun_ms and row["kind"] == kind:
+                    loose[row["proxy"], at] = row["loose"]
+        # Each comes with routes that its pilot does not know, so that there is a word on each.
+        return len(came) == len(self.made.proxies) and not any(
+            loose.get((proxy, at), True) for proxy, (_, at) in came.items()
+        )
+
     def pilot_cpu_s(self) -> float:
         """Processor time that the pilots have used by now, seconds."""
         ticks = 0
--- a/quillstep/files/front.py
+++ b/quillstep/files/front.py
@@ -27,6 +27,7 @@
 ALIVE_PART = 0.1  # of the time after which silence counts, between two signs of life of ours
 BATCH_MOST = 512  # generations between two syncs
 FRESH_MS = 100.0  # in which a directory may change twice under one time stamp
+UNKNOWN = -1  # in a hello: it holds some generation, and which is not known
 CLEAR_EVERY = 2000  # swaps between two looks for contents that nobody links
 
 
@@ -163,6 +164,7 @@
             return str(trouble)
         if safe_name(hello.node) != directory:
             return f"it says it is {hello.node!r}"
+        hello = self.since(directory, hello)
         newest = self.disk.newest(directory)
         claimed = self.disk.generation(directory, hello.generation) if hello.generation > 0 else None
         try:
@@ -171,6 +173,24 @@
             claimed, contents = None, {}
         return Parked(hello, newest, hello.generation if claimed else 0, contents)
 
+    def since(self, directory: str, hello: Hello) -> Hello:
+        """A hello with what its proxy has said it holds since then.
+
+        Found by a played day: a pilot that started over read the first hello of a proxy that had followed it for long,
+        and took it for a new one that holds nothing.
+        """
+        said = self.disk.stamp(directory, "hello.json")
+        word = self.disk.read("ack.json", directory)
+        if word is None or (said is not None and word[1][0] < said[0]):
+            return hello
+        try:
+            number, reason = read_ack(word[0])
+        except ValueError:
+            return hello
+        if reason:
+            return msgspec.structs.replace(hello, generation=hello.generation or UNKNOWN)
+        return msgspec.structs.replace(hello, generation=number, versions={})
+
     def once(self, seen: dict[tuple[str, str], Any], proxy: str, text: str) -> None:
         if seen.get((proxy, "said")) != text:
             seen[proxy, "said"] = text
@@ -257,7 +277,8 @@
             self.log.warning("version unknown", proxy=hello.node, version=hello.generation, reason=text)
         for url, versions in hello.versions.items():
             held.update({resources.key_of(url, name): version for name, version in versions.items()})
-        proxy = self.hooks.join(hello.node, hello.zone, hello.usual, held, not held, self)
+        fresh = not held and not hello.generation
+        proxy = self.hooks.join(hello.node, hello.zone, hello.usual, held, fresh, self)
         lane = Lane(proxy, parked.newest, dict(parked.contents))
         lane.heard_ms = now_ms
         if parked.holds:
@@ -265,8 +286,8 @@
             lane.sets = {parked.holds: dict(parked.contents)}
         self.lanes[directory], self.directories[proxy], self.nodes[proxy] = lane, directory, hello.node
         self.last.pop(directory, None)
-        self.tap("join", now_ms, proxy=hello.node, zone=hello.zone, fresh=not held)
-        self.log.info("proxy joined", proxy=hello.node, zone=hello.zone, fresh=not held, holds=len(held))
+        self.tap("join", now_ms, proxy=hello.node, zone=hello.zone, fresh=fresh)
+        self.log.info("proxy joined", proxy=hello.node, zone=hello.zone, fresh=fresh, holds=len(held))
 
     def leave(self, directory: str, reason: str, now_ms: float) -> None:
         lane = self.lanes.pop(directory)
@@ -353,7 +374,7 @@
             generation = lane.next(self.tables, now_ms)
             if generation:
                 self.hand_over(directory, lane, generation)
-            elif not lane.writing and (look_ms := self.tables.ledgers[proxy].look_ms()) is not None:
+            elif not lane.writing and (look_ms := self.tables.ledgers[proxy].look_ms(now_ms)) is not None:
                 self.waits[proxy] = max(now_ms + 1.0, look_ms)
             elif now_ms < lane.retry_ms:
                 self.waits[proxy] = lane.retry_ms
--- a/quillstep/files/lane.py
+++ b/quillstep/files/lane.py
@@ -63,7 +63,7 @@
         if not changes:
             return None
         self.number += 1
-        ledger.send(str(self.number), changes, now_ms)
+        tables.send(self.proxy, str(self.number), changes, now_ms)
         self.newest, self.sets[self.number] = made, made
         self.refused_number = 0
         self.writing = True
@@ -143,7 +143,7 @@
             return Word([], None, f"generation {number} is older than {self.accepted_number}, which it held")
         acknowledged: list[Change] = []
         for each in flights:
-            acknowledged += tables.acknowledge(self.proxy, str(each))
+            acknowledged += tables.acknowledge(self.proxy, str(each), now_ms)
         self.accepted_number = number
         self.accepted = self.sets[number]
         self.sets = {each: held for each, held in self.sets.items() if each >= number}
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -19,6 +19,9 @@
 from quillstep.rules import Planner
 from quillstep.settings import PilotRecord, start_facts
 from quillstep.tables import Tables
+from quillstep.tables.content import terms_of
+from quillstep.tables.pace import STALL_PART
+from quillstep.tables.ways import Ways, allowed_way
 
 PLANNERS: dict[str, Any] = {"learnt": Planner, "even": EvenPlanner, "listed": ListedPlanner}
 ORDERS_KEPT = 4096  # whose times are remembered
@@ -32,9 +35,14 @@
         self.facts = start_facts(record.fleet)
         channel, proxies = record.fleet.channel, record.fleet.proxies
         self.planner = PLANNERS[record.decides](self.facts, record.seed)
+        classes = record.fleet.classes
+        self.ways = Ways([allowed_way(row.semantics) for row in classes], [row.cut_off_ms for row in classes])
         self.tables = Tables(
-            len(record.fleet.classes), proxies.admission, proxies.base_tries, channel.lines_per_message
-        )
+            len(classes), proxies.admission, proxies.base_tries, channel.lines_per_message, ways=self.ways,
+            late_most_ms=channel.late_most_ms, stall_ms=STALL_PART * min(row.agreed_ms for row in classes),
+        )  # fmt: skip
+        self.terms = terms_of(record.fleet.zones, any(row.home_only for row in classes))
+        self.started: dict[int, float] = {}  # when each listed endpoint started, 0: long ago
         self.channel = Channel(channel.lines_per_s)
         self.plain = PlainIntake(INTAKE_PART * proxies.report_every_ms)
         self.intake = Intake(record)
@@ -79,7 +87,7 @@
                 ("listed", [[host, port, number] for number, (host, port) in addresses.items()])
             )
         for entry in entries:
-            self.states[entry[0]] = entry[2]
+            self.states[entry[0]], self.started[entry[0]] = entry[2], entry[4]
         self.listed = self.listed or kind != "error"
         self.incoming.lists.append((kind, entries))
 
@@ -95,6 +103,7 @@
         self.zones[proxy] = zone
         self.fronts[proxy] = front
         self.tables.join(proxy, zone, held)
+        self.ways.join(proxy, fresh, self.record.fleet.proxies.base_tries)
         usual_ms = self.record.fleet.proxies.report_every_ms
         self.gatherer.joined(Account(proxy, zone, life, usual_ms, usual_ms), node)
         self.intake.joined(proxy, self.now_ms)
@@ -201,6 +210,8 @@
             incoming.sums, incoming.arrivals = intake.hand_over(now_ms)
             incoming.arrivals = [row for row in incoming.arrivals if row[1] in self.zones]
         self.tables.begin()
+        warm_ms = self.record.fleet.rules.warm_after_ms
+        self.tables.cold = {e: at for e, at in self.started.items() if at and now_ms - at < warm_ms}
         for endpoint, host, port in self.placed:
             self.tables.place(endpoint, host, port)
         self.placed = []
@@ -225,7 +236,7 @@
         self.core = core
 
     def line(self, table: int, endpoint: int, weight: float) -> None:
-        self.core.tables.line(table, endpoint, weight)
+        self.core.tables.line(self.core.terms + table, endpoint, weight)
 
     def withdraw(self, endpoint: int, out: bool) -> None:
         core = self.core
@@ -236,10 +247,10 @@
         core.log.info(said, endpoint=endpoint, address=where, status=status if out else "ready")
 
     def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
-        self.core.tables.bind(proxy, table, classes)
+        self.core.tables.bind(proxy, self.core.terms + table, classes)
 
     def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
-        self.core.tables.level(table, classes, allowed, tries)
+        self.core.tables.level(self.core.terms + table, classes, allowed, tries)
 
     def probe(self, endpoint: int) -> None:
         if endpoint in self.core.tables.addresses:
--- a/quillstep/pilot/decide.py
+++ b/quillstep/pilot/decide.py
@@ -7,11 +7,15 @@
 from collections.abc import Callable
 from typing import Any
 
+import structlog
+
 from quillstep.files.front import FileFront
 from quillstep.pilot.core import Core
 from quillstep.settings import PilotRecord
 from quillstep.xds.front import XdsFront
 
+WAITS_SHOWN = 8  # proxies that one line of the log names
+
 
 class Decider:
     """Core and fronts of one pilot.  `put` is where a file front's threads hand their news over."""
@@ -28,6 +32,8 @@
         ordered = self.core.ordered_ms
         self.streams = XdsFront(record, self.core.tables, self.core, epoch, ordered, tap)
         self.fronts: list[Any] = [self.streams]
+        self.tap = tap
+        self.log = structlog.get_logger("pilot")
         self.files: FileFront | None = None
         if record.files.root:
             self.files = FileFront(record, self.core.tables, self.core, epoch, ordered, tap, put, disk)
@@ -56,6 +62,26 @@
         for front in self.fronts:
             front.pump(now_ms, stirred)
 
+        self.tell_ways(now_ms)
+
+    def tell_ways(self, now_ms: float) -> None:
+        """Say of which classes a looser way of trying again than they allow may still be gone by, and when it no longer
+        can be: until then whoever drops repeats must go on with it."""
+        changes = self.core.ways.changes(now_ms)
+        nodes = {number: node for node, number in self.core.numbers.items()} if changes else {}
+        for told in changes:
+            kind = self.core.record.fleet.classes[told.place].name
+            for loose, proxies in ((True, told.loose), (False, told.tight)):
+                for proxy in proxies:
+                    self.tap("way", now_ms, kind=kind, proxy=nodes[proxy], loose=loose)
+            known = len(self.core.ways.held)
+            if not told.stand:
+                self.log.info("way of trying again in force", kind=kind, proxies=known)
+            elif told.stand == len(told.loose):  # the first of them
+                first = [nodes[proxy] for proxy in told.loose[:WAITS_SHOWN]]
+                self.log.info("looser way of trying again stands", kind=kind, way=told.way, proxies=first, of=known)
+
     def next_ms(self) -> float:
         """When a turn has something to do without any news."""
-        return min([self.core.next_ms(), *(front.next_ms() for front in self.fronts)])
+        waits = [front.next_ms() for front in self.fronts]
+        return min([self.core.next_ms(), self.core.ways.due_ms, *waits])
--- a/quillstep/replay/faithful.py
+++ b/quillstep/replay/faithful.py
@@ -24,6 +24,8 @@
 class PlayedPeer:
     """A peer of a captured day: takes what is sent, is as full as it was then."""
 
+    heard_ms = 0.0  # only words on late responses go by it
+
     def __init__(self, number: int) -> None:
         self.number, self.is_full = number, False
 
--- a/quillstep/replay/whatif.py
+++ b/quillstep/replay/whatif.py
@@ -45,7 +45,7 @@
             if changes:
                 self.nonces += 1
                 nonce = str(self.nonces)
-                ledger.send(nonce, changes, now_ms)
+                core.tables.send(number, nonce, changes, now_ms)
                 self.pilot.sent(proxy, ledger.released, len(changes), now_ms)
                 delay = self.pilot.delay(proxy.name)
                 self.day.clock.at(
@@ -60,7 +60,7 @@
     def word(self, number: int, ledger: Any, nonce: str) -> None:
         tables = self.pilot.core.tables
         if tables.ledgers.get(number) is ledger:
-            tables.acknowledge(number, nonce)
+            tables.acknowledge(number, nonce, self.day.clock.now)
             self.pilot.poke()
 
     def drop(self, proxy: int, reason: str, now_ms: float) -> None:
--- a/quillstep/rulecheck/evidence.py
+++ b/quillstep/rulecheck/evidence.py
@@ -32,13 +32,15 @@
     bare: list[dict[str, Any]] = field(default_factory=list)  # from proxies
     applied: list[dict[str, Any]] = field(default_factory=list)  # from proxies
     refused: list[dict[str, Any]] = field(default_factory=list)  # from proxies
+    lost: list[dict[str, Any]] = field(default_factory=list)  # from proxies: responses that they dropped unread
     commands: list[dict[str, Any]] = field(default_factory=list)  # troubles as they struck
     sent: list[dict[str, Any]] = field(default_factory=list)  # from pilots' sockets, and acks, joins
+    ways: list[dict[str, Any]] = field(default_factory=list)  # from pilots: whether a tighter way is in force
     end_ms: float = 0.0
 
     def sort(self) -> "Evidence":
         for rows in (self.exchanges, self.served, self.starts, self.told, self.streams, self.bare,
-                     self.applied, self.refused, self.commands, self.sent):  # fmt: skip
+                     self.applied, self.refused, self.lost, self.commands, self.sent, self.ways):  # fmt: skip
             rows.sort(key=lambda row: row["at"])
             if rows:
                 self.end_ms = max(self.end_ms, rows[-1]["at"])
@@ -98,7 +100,7 @@
 
 PLACES = {
     "change": None, "told": "told", "stream": "streams", "bare": "bare", "applied": "applied",
-    "refused": "refused", "command": "commands", "start": "starts",
+    "refused": "refused", "lost": "lost", "command": "commands", "start": "starts",
 }  # fmt: skip
 
 
@@ -120,7 +122,7 @@
 
 def put(evidence: Evidence, side: str, row: dict[str, Any]) -> None:
     if side == "pilot":
-        evidence.sent.append(row)
+        (evidence.ways if row["what"] == "way" else evidence.sent).append(row)
     elif row["what"] == "exchange":
         (evidence.served if side == "endpoints" else evidence.exchanges).append(row)
     elif place := PLACES.get(row["what"]):
--- a/quillstep/rulecheck/rules.py
+++ b/quillstep/rulecheck/rules.py
@@ -69,10 +69,12 @@
 def ran_twice(evidence: Evidence) -> Iterator[Break]:
     """A proxy resent what may have run, beyond what its class allows; or an effect was seen twice."""
     classes = {row.name: row for row in evidence.fleet.classes}
+    tightened = {row["kind"]: row["at"] for row in evidence.commands if row["do"] == "tighten"}
     for row in evidence.exchanges:
         kind = classes[row["class"]]
         if kind.semantics == "safe" or len(row["tries"]) < 2:
             continue
+        unsafe_from = float("-inf") if kind.semantics == "unsafe" else tightened.get(kind.name, float("inf"))
         may_have_run: tuple[float, str] | None = None
         for address, sent, _, result, _ in row["tries"]:
             if may_have_run:
@@ -80,7 +82,7 @@
                 zone = evidence.zones.get(endpoint, "")
                 in_time = sent - may_have_run[0] <= kind.window_ms
                 in_group = kind.scope == "all" or zone == may_have_run[1]
-                if kind.semantics == "unsafe" or not in_time or not in_group:
+                if sent >= unsafe_from or not in_time or not in_group:
                     text = f"{kind.name} sent again {sent - may_have_run[0]:.0f} ms after a try that may have run"
                     yield Break(TWICE, sent, text, row["proxy"], endpoint, row["exchange"])
             if result != NEVER_RAN and not may_have_run:
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -197,12 +197,15 @@
     what: Literal[
         "stall", "slow", "fail", "silent", "die", "drain", "lose_answers", "zone_loss", "join",
         "proxy_stall", "proxy_refuses", "proxy_reads_nothing", "pilot_kill", "pilot_stall", "proxy_moves",
-        "proxy_cut", "reports_late", "reports_heavy", "reports_cut",
+        "proxy_cut", "proxy_slow_lines", "proxy_late_words", "proxy_loses", "tighten",
+        "reports_late", "reports_heavy", "reports_cut",
     ]  # fmt: skip
     zone: str = ""
     count: Annotated[int, Field(ge=1)] = 1
-    # Of `slow`; `reports_late`: seconds; the part of answers lost or failed is 1 / factor below.
+    # Of `slow`; `reports_late`, `proxy_late_words`: seconds; `proxy_slow_lines`: ms a line; `proxy_loses`: responses;
+    # the part of answers lost or failed is 1 - 1 / factor.
     factor: Positive = 4.0
+    kind: str = ""  # the class that `tighten` makes unsafe: pilots start over with it so, endpoints follow
 
 
 class DayRecord(Record):
@@ -319,6 +322,9 @@
     for at, trouble in enumerate(getattr(record, "troubles", [])):
         if trouble.zone and trouble.zone not in zones:
             _wrong(origin, f"troubles.{at}.zone", shown(trouble.zone), "one of " + ", ".join(sorted(zones)))
+        names_known = {row.name for row in fleet.classes}
+        if (trouble.what == "tighten") != bool(trouble.kind) or (trouble.kind and trouble.kind not in names_known):
+            _wrong(origin, f"troubles.{at}.kind", shown(trouble.kind), "a class with `tighten`, nothing else")
     reports = getattr(record, "reports", None)
     if reports is not None and (reports.by == "processes") != bool(reports.listen):
         found = f"{len(reports.listen)} with by: {shown(reports.by)}"
--- a/quillstep/standins/endpoints.py
+++ b/quillstep/standins/endpoints.py
@@ -261,8 +261,12 @@
 
     def take(self, command: dict[str, Any]) -> None:
         """What the parent orders: `do`, the endpoint, and until when or how much."""
-        endpoint = self.endpoints[command["endpoint"]]
         do, for_ms = command["do"], command.get("for_ms", 0.0)
+        if do == "tighten":
+            self.classes[command["kind"]]["semantics"] = "unsafe"  # every one that comes runs, from now on
+            self.record.put(what="command", at=now_ms(), do=do, kind=command["kind"])
+            return
+        endpoint = self.endpoints[command["endpoint"]]
         until = now_ms() + for_ms
         if do == "die":
             endpoint.stop("die")
--- a/quillstep/standins/follow.py
+++ b/quillstep/standins/follow.py
@@ -115,6 +115,9 @@
         self.load_stream: SharedStream | None = None
         self.pilot = ""
         self.stalled_ms = self.refuses_ms = self.cut_ms = 0.0
+        self.slow_until, self.line_ms = 0.0, LINE_MS  # a line takes this long until then
+        self.late_until, self.late_ms = 0.0, 0.0  # words go out this late until then
+        self.loses = 0  # responses that it will drop unread
         self.dials = 0
         self.ended = threading.Event()
 
@@ -192,9 +195,27 @@
     def message(self, client: GrpcClient, data: bytes) -> None:
         raise NotImplementedError
 
-    def stand_still(self, lines: int) -> None:
+    def stand_still(self, lines: int) -> float:
+        """Apply so many lines' worth of time; the milliseconds that it took."""
+        line_ms = self.line_ms if self.slow_until > now_ms() else LINE_MS
         with self.proxy.lock:
-            time.sleep(LINE_MS * lines / 1000.0)
+            time.sleep(line_ms * lines / 1000.0)
+        return line_ms * lines
+
+    def dropped(self, nonce: str, kind: str) -> bool:
+        """Whether a response is lost on it, as if it had never come."""
+        if self.loses <= 0:
+            return False
+        self.loses -= 1
+        self.record(what="lost", nonce=nonce, type=kind)
+        return True
+
+    def say(self, client: GrpcClient, words: list[Any]) -> None:
+        """Send words, late if so told; what is late holds up all that comes after it."""
+        if self.late_until > now_ms():
+            self.ended.wait(self.late_ms / 1000.0)
+        for word in words:
+            client.send(self.stream, word.SerializeToString())
 
 
 class DeltaFollower(Follower):
@@ -220,12 +241,14 @@
 
     def message(self, client: GrpcClient, data: bytes) -> None:
         response = discovery_pb2.DeltaDiscoveryResponse.FromString(data)
-        self.stand_still(len(response.resources) + len(response.removed_resources))
+        if self.dropped(response.nonce, response.type_url):
+            return
+        stood_ms = self.stand_still(len(response.resources) + len(response.removed_resources))
         word = discovery_pb2.DeltaDiscoveryRequest(type_url=response.type_url, response_nonce=response.nonce)
         changed = [(resource.name, resource.version) for resource in response.resources]
         note: dict[str, Any] = {"type": response.type_url.rpartition(".")[2], "nonce": response.nonce,
                 "system": response.system_version_info, "changed": changed,
-                "removed": list(response.removed_resources), "bytes": len(data)}  # fmt: skip
+                "removed": list(response.removed_resources), "bytes": len(data), "stood": stood_ms}  # fmt: skip
         try:
             if self.refuses_ms > now_ms():
                 raise ValueError("told to refuse")
@@ -238,8 +261,7 @@
         else:
             self.record(what="applied", **note)
             self.proxy.applied()
-        for follow in self.follow_up(response, word):
-            client.send(self.stream, follow.SerializeToString())
+        self.say(client, self.follow_up(response, word))
 
     def follow_up(self, response: Any, word: Any) -> list[discovery_pb2.DeltaDiscoveryRequest]:
         """The acknowledgement, and what is asked for of other types because of it."""
@@ -356,11 +378,11 @@
     def message(self, client: GrpcClient, data: bytes) -> None:
         response = discovery_pb2.DiscoveryResponse.FromString(data)
         url = response.type_url
-        self.stand_still(len(response.resources))
+        stood_ms = self.stand_still(len(response.resources))
         version, _ = self.newest.get(url, ("", ""))
         note: dict[str, Any] = {"type": url.rpartition(".")[2], "nonce": response.nonce, "bytes": len(data),
                 "system": response.control_plane.identifier, "changed": [["*", response.version_info]],
-                "removed": []}  # fmt: skip
+                "removed": [], "stood": stood_ms}  # fmt: skip
         word = discovery_pb2.DiscoveryRequest(type_url=url, response_nonce=response.nonce)
         asks = False
         try:
@@ -382,7 +404,7 @@
             word.resource_names.extend(sorted(self.held.tables))
         elif url == RDS:
             word.resource_names.append("exchanges")
-        client.send(self.stream, word.SerializeToString())
+        self.say(client, [word])
         if asks:
             self.ask_lines(client)
 
--- a/quillstep/standins/proxies.py
+++ b/quillstep/standins/proxies.py
@@ -16,12 +16,13 @@
 import time
 from typing import Any
 
-from quillstep.standins.follow import DeltaFollower, Follower, Held, SotwFollower
+from quillstep.standins.follow import DeltaFollower, Follower, Held, Route, SotwFollower
 from quillstep.standins.follow_files import FileFollower
 from quillstep.standins.process import STACK_BYTES, Record, answer, first_command, now_ms, serve
 from quillstep.standins.reporting import Reporter, bucket
 
 WORKERS_MOST = 600
+STANDING = "standing"  # the table that a proxy starts with, and the version of its lines
 Address = tuple[str, int]
 
 
@@ -100,7 +101,7 @@
         self.lock = threading.RLock()
         self.draw = random.Random(row["name"]).random
         self.standing: dict[str, tuple[Address, float, str]] = {
-            str(number): (("127.0.0.1", port), 1.0, "standing") for number, port in row["standing"]
+            str(number): (("127.0.0.1", port), 1.0, STANDING) for number, port in row["standing"]
         }
         self.held = Held()
         self.turns: dict[str, dict[str, float]] = {}  # smooth weighted turns, by table and line
@@ -145,17 +146,18 @@
 
     # tables
 
-    def lines(self, name: str) -> tuple[str, dict[str, tuple[Address, float, str]]]:
-        """The table that serves a class now, and its lines: name to address, weight, version."""
-        route = self.held.routes.get(name)
-        if route and route.table in self.held.tables:
-            return route.table, self.held.tables[route.table]
-        return "standing", self.standing
+    def table(self, route: Route | None) -> str:
+        """The table that routes lead to now."""
+        return route.table if route and route.table in self.held.tables else STANDING
+
+    def lines(self, table: str) -> dict[str, tuple[Address, float, str]]:
+        """A table's lines: name to address, weight, version; none of one that is there no more."""
+        return self.standing if table == STANDING else self.held.tables.get(table, {})
 
-    def pick(self, name: str, without: set[Address]) -> tuple[Address, str] | None:
+    def pick(self, table: str, without: set[Address]) -> tuple[Address, str] | None:
         """The next line in turn, evenly by weight; lines avoided come last."""
         with self.lock:
-            table, lines = self.lines(name)
+            lines = self.lines(table)
             usable = {n: row for n, row in lines.items() if row[0] not in self.held.out}
             usable = {n: row for n, row in usable.items() if row[0] not in without}
             now = now_ms()
@@ -176,14 +178,14 @@
         """After every change: write down whether any class has no line left."""
         with self.lock:
             for name in self.host.classes:
-                _, lines = self.lines(name)
+                lines = self.lines(self.table(self.held.routes.get(name)))
                 bare = all(row[0] in self.held.out for row in lines.values())
                 if bare != self.bare.get(name, False):
                     self.bare[name] = bare
                     self.host.record.put(
                         what="bare", at=now_ms(), proxy=self.name, **{"class": name}, on=bare
                     )
-            used = set(self.held.tables) | {"standing"}
+            used = set(self.held.tables) | {STANDING}
             self.turns = {table: turns for table, turns in self.turns.items() if table in used}
 
     def lets_in(self, name: str) -> bool:
@@ -219,14 +221,17 @@
             self.host.record.put(**note, end=now_ms(), outcome="refused", tries=[])
             return
         with self.lock:
+            # The routes of its beginning are its routes to its end: a further try, if they allow one, is of the same
+            # table.  Found by the model: one that took its further try by newer routes met another zone's endpoints.
             route, went_by = self.held.routes.get(name), self.held.routes_version
+            table = self.table(route)
         tries_left = route.tries if route else self.host.base_tries
         more = self.host.further(tries_left)
         tried: list[tuple] = []
         used: set[Address] = set()
         outcome = "failed"
         for turn in itertools.count():
-            picked = self.pick(name, used)
+            picked = self.pick(table, used)
             if picked is None:
                 outcome = outcome if tried else "bare"
                 break
@@ -442,6 +447,14 @@
                 proxy.follower.refuses_ms = until
             elif do in ("reads_nothing", "stall"):
                 proxy.follower.stalled_ms = until
+            elif isinstance(proxy.follower, FileFollower):
+                pass  # the rest is about words on a stream
+            elif do == "slow_lines":
+                proxy.follower.slow_until, proxy.follower.line_ms = until, command["factor"]
+            elif do == "late_words":
+                proxy.follower.late_until, proxy.follower.late_ms = until, 1000.0 * command["factor"]
+            elif do == "loses":
+                proxy.follower.loses = int(command["factor"])
         self.record.put(what="command", at=now_ms(), proxy=proxy.name, do=do, until=until)
         answer(done=do, proxy=proxy.name)
 
--- /dev/null
+++ b/quillstep/tables/effect.py
@@ -0,0 +1,41 @@
+"""What may be in effect at proxies that have not said what they hold.  Without I/O and clocks.
+
+A proxy that never applies an order goes by its old version, and counts so: where it may still push a cold endpoint by
+the line of its warm days, the others wait with theirs.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from quillstep.tables.content import LINE, OUT, Content, Key
+from quillstep.tables.ledger import Change, Ledger
+
+LOOK_MS = 50.0  # between two looks at who still holds an old line
+
+
+def by_old_line(ledger: Ledger, line: Key, wanted: Content | None) -> bool:
+    """Whether a proxy may pick an endpoint by a line other than the one it should hold, as far as its word goes."""
+    held = ledger.held.get(line)
+    if held is None or (OUT, line[2]) in ledger.held:
+        return False
+    return held != (wanted.version if wanted else None)
+
+
+def spent(ledgers: Iterable[Ledger], line: Key, wanted: Content, usual: float) -> bool:
+    """Whether proxies with old lines may push an endpoint by as much as all of them should by the wanted line.
+
+    `usual`: the mean weight of the table's lines, which an old line is taken to have had.
+    """
+    rows = list(ledgers)
+    old = sum(by_old_line(ledger, line, wanted) for ledger in rows)
+    return old * usual > len(rows) * float(wanted.what[2])
+
+
+def grows(change: Change, ledger: Ledger, cold: Mapping[int, float]) -> int | None:
+    """The cold endpoint that a change would send more to, at a proxy that sends it nothing now; None: it is no such."""
+    kind = change.key[0]
+    if kind == LINE and change.content and change.key[2] in cold:
+        endpoint = change.key[2]
+        return endpoint if change.key not in ledger.held or (OUT, endpoint) in ledger.held else None
+    if kind == OUT and change.content is None and change.key[1] in cold:
+        return int(change.key[1])
+    return None
--- a/quillstep/tables/ledger.py
+++ b/quillstep/tables/ledger.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from quillstep.tables.content import ENTRY, LINE, OUT, POOL, ROUTES, SHARE, Content, Key, rank
+from quillstep.tables.pace import LOST, ON_ITS_WAY, Pace, Verdict
 
 BACK_OFF_MS = 100.0  # after a refusal, doubled with each in a row
 BACK_OFF_MOST = 64.0  # times that
@@ -38,6 +39,8 @@
     changes: list[Change]
     number: int  # the newest order in it
     sent_ms: float
+    lane: str = ""  # words on what goes in one lane come in sequence; empty: in none
+    asked: bool = False  # a question has been sent after it
 
 
 @dataclass(slots=True)
@@ -46,6 +49,7 @@
 
     proxy: int
     zone: str
+    pace: Pace = field(default_factory=Pace)
     held: dict[Key, str] = field(default_factory=dict)  # versions, by the proxy's own word
     dirty: dict[Key, int] = field(default_factory=dict)  # what may differ, and since which order
     asked: set[Key] = field(default_factory=set)  # must be answered though nothing differs
@@ -63,6 +67,9 @@
     )
     refusals: int = 0  # in a row
     not_before_ms: float = 0.0
+    verdicts: list[Verdict] = field(default_factory=list)  # on responses, not told yet
+    grows_ms: float = 0.0  # until then it waits with more for a cold endpoint
+    judged: dict[str, str] = field(default_factory=dict)  # verdict by nonce, of what is in flight
 
     def mark(self, key: Key, number: int) -> None:
         """This key may differ since that order; an older mark stays, so that nothing waits twice."""
@@ -177,17 +184,17 @@
         under_way = any(key[0] == LINE and key[1] == table and s[2] <= number for key, s in self.sent.items())
         return under_way or not any(key[0] == LINE and key[1] == table for key in self.held)
 
-    def send(self, nonce: str, changes: list[Change], now_ms: float) -> None:
+    def send(self, nonce: str, changes: list[Change], now_ms: float, lane: str = "") -> None:
         """These changes are on their way under this nonce."""
         number = self.released
-        self.flights[nonce] = Flight(changes, number, now_ms)
+        self.flights[nonce] = Flight(changes, number, now_ms, lane)
         for key, want in changes:
             self.sent[key] = (want.version if want else None, nonce, self.dirty.pop(key, number))
             self.asked.discard(key)
 
-    def acknowledge(self, nonce: str) -> list[Change]:
+    def acknowledge(self, nonce: str, now_ms: float = 0.0) -> list[Change]:
         """The proxy holds what went under this nonce; an unknown or old nonce acknowledges nothing."""
-        flight = self.flights.pop(nonce, None)
+        flight = self.landed(nonce, now_ms)
         if flight is None:
             return []
         for key, want in flight.changes:
@@ -212,7 +219,7 @@
         A piece of several changes is tried again in halves, never unchanged: one bad line must not keep
         a drain that came with it from a proxy for ever.
         """
-        flight = self.flights.pop(nonce, None)
+        flight = self.landed(nonce, now_ms)
         if flight is None:
             return None
         keys = []
@@ -235,11 +242,83 @@
         self.refusals += 1
         return Refusal(flight.changes, reason, alone)
 
-    def look_ms(self) -> float | None:
-        """When something that was refused is to be tried again; None: nothing is."""
+    def landed(self, nonce: str, now_ms: float) -> Flight | None:
+        """A word on a response: what was sent before it in its lane and has none is lost, and is sent again.
+
+        Found by a played day: a proxy that dropped one response was told no more of what it held until its stream was
+        ended for silence, eight seconds later; a drain was in it.
+        """
+        flight = self.flights.get(nonce)
+        if flight is None:
+            return None
+        self.pace.answered(len(flight.changes), flight.sent_ms, now_ms)
+        earlier = []
+        for other, held in self.flights.items():
+            if other == nonce:
+                break
+            if flight.lane and held.lane == flight.lane:
+                earlier.append(other)
+        for other in earlier:
+            waited = now_ms - self.flights[other].sent_ms
+            self.verdicts.append(Verdict(other, LOST, waited, "a later word came, this one did not"))
+            self.unsend(other)
+        self.judged.pop(nonce, None)
+        return self.flights.pop(nonce)
+
+    def behind(self, now_ms: float) -> bool:
+        """Whether a response has no word for longer than it may; those behind it wait for it."""
+        nonce = next(iter(self.flights), None)
+        return nonce is not None and self.pace.judge(nonce, *self.size(nonce), now_ms, None).kind != ON_ITS_WAY
+
+    def question(self, now_ms: float) -> str | None:
+        """The lane in which to ask whether a late response was lost: once for each, where nothing follows it there.
+
+        A question is a response without changes.  Its word comes after that on the late one, or proves that there will
+        be none; found by played days: where nothing more was ordered, a lost drain waited until the stream was ended.
+        """
+        if not self.behind(now_ms):
+            return None
+        flights = list(self.flights.values())
+        oldest = flights[0]
+        if not oldest.lane or oldest.asked or any(other.lane == oldest.lane for other in flights[1:]):
+            return None
+        oldest.asked = True
+        return oldest.lane
+
+    def size(self, nonce: str) -> tuple[int, float]:
+        flight = self.flights[nonce]
+        return len(flight.changes), flight.sent_ms
+
+    def judge(self, now_ms: float, heard_ms: float | None) -> list[Verdict]:
+        """What is to be told of responses without a word, each once for each verdict; see `Pace.judge`."""
+        found, self.verdicts = self.verdicts, []
+        nonce = next(iter(self.flights), None)
+        if nonce is not None:
+            verdict = self.pace.judge(nonce, *self.size(nonce), now_ms, heard_ms)
+            if verdict.kind != self.judged.get(nonce, ON_ITS_WAY):
+                self.judged[nonce] = verdict.kind
+                found.append(verdict)
+        return found
+
+    def piece(self, changes: list[Change], now_ms: float) -> list[Change]:
+        """As much of what may be sent now as the proxy takes at once.
+
+        Guards against exchanges that wait while a proxy applies a whole table.  Endpoints to keep out go at once;
+        what comes up new goes before what it replaces, so that no piece leaves a proxy bare.
+        """
+        most = self.pace.lines_most()
+        if most is None or (len(changes) <= most and now_ms >= self.pace.next_ms):
+            return changes
+        if now_ms < self.pace.next_ms or any(flight.lane for flight in self.flights.values()):
+            return [change for change in changes if change.key[0] == OUT and change.content]
+        return changes[:most]
+
+    def look_ms(self, now_ms: float) -> float | None:
+        """When something that was refused or waits is to be tried again; None: nothing is."""
         waits = [*self.again.values()]
         if self.apart:
             waits.append(self.not_before_ms)
+        waits += [at for at in (self.pace.next_ms, self.grows_ms) if at > now_ms and self.dirty]
         return min(waits, default=None)
 
     def receipts(self) -> list[int]:
@@ -263,6 +342,7 @@
     def unsend(self, nonce: str) -> None:
         """What went under this nonce never left: it is to be sent as before."""
         flight = self.flights.pop(nonce, None)
+        self.judged.pop(nonce, None)
         for key, _ in flight.changes if flight else ():
             if key in self.sent and self.sent[key][1] == nonce:
                 self.mark(key, self.sent.pop(key)[2])
--- /dev/null
+++ b/quillstep/tables/pace.py
@@ -0,0 +1,109 @@
+"""How one proxy takes its orders: on their way, late, stalling it, lost.  Without I/O and clocks; times are in ms.
+
+A proxy stands still while it applies what it is sent.  What a line costs it is the least that lines have cost it of
+late: queues and a busy pilot only ever add to a time, so that the minimum over a window is the proxy's own part (the
+filter that BBR uses for a path's round trip; Cardwell et al., ACM Queue 14(5), 2016).
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+ON_ITS_WAY, LATE, STALLS, LOST = "on its way", "late", "stalls", "lost"
+SMALL, LARGE = 2, 8  # lines: what a round trip is told by, and what a line's cost is told by
+BELIEVED = 2  # answers of many lines that tell a proxy's own cost
+KEPT = 8  # answers of each size that are looked back on
+STALL_PART = 0.1  # of the shortest agreed time: as long as one piece may make a proxy stand still
+LEAST_LINES = 4  # of a piece, however long they take
+REST = 1.0  # after a piece the proxy has its time for exchanges: as long again as it stood still
+
+
+class UsualCost:
+    """What a line costs most proxies: a median that moves by a step a sample, whatever the sample's size.
+
+    Ma, Muthukrishnan, Sandler: Frugal Streaming for Estimating Quantiles, 2013.  Few slow ones don't move it.
+    """
+
+    STEP, LEAST_MS = 1.25, 0.01
+
+    def __init__(self) -> None:
+        self.line_ms = self.LEAST_MS
+
+    def add(self, line_ms: float) -> None:
+        step = self.STEP if line_ms > self.line_ms else 1.0 / self.STEP
+        self.line_ms = max(self.LEAST_MS, self.line_ms * step)
+
+
+class Verdict(NamedTuple):
+    """What is to be thought of a response that has no word yet: which, since when, after how many ms, why."""
+
+    nonce: str
+    kind: str
+    waits_ms: float
+    reason: str
+
+
+class Pace:
+    """One proxy's pace.  `late_most_ms`: from when on an order is late; `stall_ms`: what one piece may cost;
+    `usual_line_ms`: what a line costs the others, gone by until its own cost is known."""
+
+    def __init__(
+        self, late_most_ms: float = 0.0, stall_ms: float = 0.0, usual_line_ms: float | None = None
+    ) -> None:
+        self.late_most_ms, self.stall_ms, self.usual_line_ms = late_most_ms, stall_ms, usual_line_ms
+        self.small: deque[float] = deque(maxlen=KEPT)
+        self.large: deque[tuple[int, float]] = deque(maxlen=KEPT)
+        self.last_line_ms: float | None = None  # the cost of a line by the last answer that tells one
+        self.word_ms = float("-inf")  # when its last word came
+        self.next_ms = 0.0  # before which no further piece of ordinary changes goes
+
+    def answered(self, lines: int, sent_ms: float, now_ms: float) -> None:
+        """Its word on a response of so many lines; what came before it in the stream was taken first."""
+        took = now_ms - max(sent_ms, self.word_ms)
+        self.word_ms = now_ms
+        if lines <= SMALL:
+            self.small.append(took)
+        elif lines >= LARGE:
+            self.large.append((lines, took))
+            self.last_line_ms = max(0.0, took - min(self.small, default=0.0)) / lines
+        self.next_ms = now_ms + REST * self.stands_ms(lines)
+
+    def line_ms(self) -> float | None:
+        """What a line makes it stand still for; None: nothing is known.
+
+        One answer alone may have met a busy pilot; until there are more, it is taken for one of many.
+        """
+        if len(self.large) < BELIEVED:
+            return self.usual_line_ms
+        trip = min(self.small, default=0.0)
+        return min(max(0.0, took - trip) / lines for lines, took in self.large)
+
+    def stands_ms(self, lines: int) -> float:
+        """How long so many lines make it stand still, as far as that is worth a rest."""
+        stands = lines * (self.line_ms() or 0.0)
+        return stands if stands > 0.5 * self.stall_ms else 0.0
+
+    def lines_most(self) -> int | None:
+        """The lines of one piece; None: all at once."""
+        line_ms = self.line_ms()
+        if not line_ms or not self.stall_ms:
+            return None
+        return max(LEAST_LINES, int(self.stall_ms / line_ms))
+
+    def late_ms(self, lines: int) -> float:
+        """From when on a response of so many lines is late: the settings' figure, or what it surely takes."""
+        trip = min(self.small, default=0.0)
+        return max(self.late_most_ms, 2.0 * (trip + lines * (self.line_ms() or 0.0)))
+
+    def judge(self, nonce: str, lines: int, sent_ms: float, now_ms: float, heard_ms: float | None) -> Verdict:
+        """A response without a word.  `heard_ms`: when anything at all last came from this peer, if that is known.
+
+        One that still talks and does not answer stands still over it, or will never apply it; one from which nothing
+        comes may have it under way.  Neither counts as held.  That it was lost only a later word can tell.
+        """
+        since = max(sent_ms, self.word_ms)
+        waits = now_ms - since
+        if not self.late_most_ms or waits <= self.late_ms(lines):
+            return Verdict(nonce, ON_ITS_WAY, waits, "")
+        if heard_ms is not None and heard_ms > since + self.late_most_ms:
+            return Verdict(nonce, STALLS, waits, f"it talks and has not applied {lines} lines")
+        return Verdict(nonce, LATE, waits, f"nothing came from it since it was sent {lines} lines")
--- a/quillstep/tables/world.py
+++ b/quillstep/tables/world.py
@@ -10,7 +10,10 @@
 from typing import NamedTuple
 
 from quillstep.tables.content import ENTRY, LINE, OTHER, OUT, POOL, ROUTES, SHARE, Content, Key, content
+from quillstep.tables.effect import LOOK_MS, grows, spent
 from quillstep.tables.ledger import Change, Ledger, Refusal
+from quillstep.tables.pace import Pace, UsualCost
+from quillstep.tables.ways import Ways
 
 OPEN_RATE = 1e5  # a rate from which on nothing is held back: no limit is sent
 
@@ -35,7 +38,19 @@
 class Tables:
     """The desired state of all, and `ledgers` by proxy number."""
 
-    def __init__(self, classes: int, admission: str, base_tries: int, lines_per_message: float) -> None:
+    def __init__(
+        self,
+        classes: int,
+        admission: str,
+        base_tries: int,
+        lines_per_message: float,
+        *,
+        late_most_ms: float = 0.0,
+        stall_ms: float = 0.0,
+        ways: Ways | None = None,
+    ) -> None:
+        """`late_most_ms`: from when on an order is late; 0: never.  `stall_ms`: that one piece may make a proxy stand
+        still for; 0: as long as it takes."""
         self.classes, self.admission, self.base_tries = classes, admission, base_tries
         self.lines_per_message = lines_per_message
         self.tables: dict[int, Table] = {}
@@ -49,12 +64,18 @@
         self.stirred: set[int] = set()  # proxies that may have something to be sent
         self.answering: set[int] = set()  # proxies that may have completed a receipt
         self.made: dict[Key, Content] = {}  # contents by key, made anew when an order touches them
+        self.late_most_ms, self.stall_ms = late_most_ms, stall_ms
+        self.line_cost = UsualCost()
+        self.ways = ways or Ways([], [])
+        self.cold: dict[int, float] = {}  # cold endpoints, and when they started
+        self.full: dict[int, tuple[float, bool]] = {}  # of these: looked until when, whether old lines push it enough
 
     # who is there
 
     def join(self, proxy: int, zone: str, held: Mapping[Key, str]) -> Ledger:
         """A proxy's stream stands; it keeps what it says it holds until it is bound."""
-        ledger = Ledger(proxy, zone, dict(held))
+        pace = Pace(self.late_most_ms, self.stall_ms, self.line_cost.line_ms)
+        ledger = Ledger(proxy, zone, pace, dict(held))
         ledger.released = self.number
         self.leave(proxy)
         self.ledgers[proxy] = ledger
@@ -70,6 +91,8 @@
     def holds(self, proxy: int, held: Mapping[Key, str]) -> None:
         """A proxy tells of more that it holds, in the first words on a further type."""
         ledger = self.ledgers[proxy]
+        if (ROUTES,) in held:
+            self.ways.join(proxy, False, self.base_tries)
         for key, version in held.items():
             if key not in ledger.sent:
                 ledger.held[key] = version
@@ -206,12 +229,63 @@
         """What a front should send this proxy now; `wants` tells what it has asked for."""
         ledger = self.ledgers[proxy]
         self.answering.add(proxy)
-        return ledger.take(now_ms, wants, lambda key: self.desired(ledger, key), together)
-
-    def acknowledge(self, proxy: int, nonce: str) -> list[Change]:
+        found = ledger.take(now_ms, wants, lambda key: self.desired(ledger, key), together)
+        if self.cold and found:
+            found = self.without_full(ledger, found, now_ms)
+        if ledger.bound and ledger.held.get((ROUTES,)) and (ROUTES,) not in ledger.dirty:
+            routes = self.routes(ledger)
+            if routes and routes.version == ledger.held[(ROUTES,)]:
+                self.ways.holds(proxy, ways_of(routes), now_ms)
+        return found
+
+    def without_full(self, ledger: Ledger, changes: list[Change], now_ms: float) -> list[Change]:
+        """Changes less those that would send more to a cold endpoint that old lines push enough already.
+
+        Guards against a proxy that never applied a death: by its old line it sends a whole part to the endpoint when
+        that is back and cold, and all the others would send theirs beside it.
+        """
+        kept = []
+        for change in changes:
+            endpoint = grows(change, ledger, self.cold)
+            if endpoint is None or not self.is_full(endpoint, now_ms):
+                kept.append(change)
+            else:
+                ledger.grows_ms = now_ms + LOOK_MS
+        return kept
+
+    def is_full(self, endpoint: int, now_ms: float) -> bool:
+        until, full = self.full.get(endpoint, (0.0, False))
+        if now_ms < until:
+            return full
+        full = False
+        for number, table in self.tables.items():
+            wanted = self.content((LINE, number, endpoint)) if endpoint in table.lines else None
+            if wanted and table.users:
+                users = (self.ledgers[proxy] for proxy in table.users)
+                usual = sum(table.lines.values()) / len(table.lines)
+                full |= spent(users, (LINE, number, endpoint), wanted, usual)
+        self.full[endpoint] = (now_ms + LOOK_MS, full)
+        return full
+
+    def send(self, proxy: int, nonce: str, changes: list[Change], now_ms: float, lane: str = "") -> None:
+        """These changes are on their way to a proxy."""
+        self.ledgers[proxy].send(nonce, changes, now_ms, lane)
+        for key, want in changes:
+            if key[0] == ROUTES and want:
+                self.ways.send(proxy, nonce, ways_of(want))
+
+    def acknowledge(self, proxy: int, nonce: str, now_ms: float = 0.0) -> list[Change]:
+        """What a proxy holds by this word; one on what is not under way says nothing."""
         self.stirred.add(proxy)
         self.answering.add(proxy)
-        return self.ledgers[proxy].acknowledge(nonce)
+        ledger = self.ledgers[proxy]
+        found = ledger.acknowledge(nonce, now_ms)
+        if found:
+            self.ways.acknowledge(proxy, nonce, now_ms)
+            if ledger.pace.last_line_ms is not None:
+                self.line_cost.add(ledger.pace.last_line_ms)
+                ledger.pace.last_line_ms = None
+        return found
 
     def receipts(self) -> list[int]:
         """The receipts that proxies have completed since the last call, one for each proxy that did."""
@@ -226,6 +300,7 @@
         self, proxy: int, nonce: str, reason: str, now_ms: float, whole: bool = False
     ) -> Refusal | None:
         self.stirred.add(proxy)
+        self.ways.refuse(proxy, nonce)
         return self.ledgers[proxy].refuse(nonce, reason, now_ms, whole)
 
     def keys(self, proxy: int) -> list[Key]:
@@ -287,3 +362,8 @@
             rate = self.admission == "rate" and allowed is not None and allowed < OPEN_RATE
             rows.append((place, table, round(allowed, 4) if rate and allowed is not None else None, tries))
         return content((ROUTES,), tuple(rows))
+
+
+def ways_of(routes: Content) -> dict[int, int]:
+    """The way of trying again of each class, of routes of ours."""
+    return {place: tries for place, _, _, tries in routes.what}
--- a/quillstep/xds/delta.py
+++ b/quillstep/xds/delta.py
@@ -121,16 +121,28 @@
     # responses
 
     def pump(self, now_ms: float) -> list[Response]:
-        """What may be sent now, in sequence; bounded by what may be in flight."""
+        """What may be sent now, in sequence; bounded by what may be in flight, and by what the proxy takes at once.
+
+        While a response is late only endpoints to keep out are sent: all else that is ordered meanwhile merges, and
+        what is overtaken is never sent.
+        """
         out, self.errors = self.errors, []
         ledger = self.tables.ledgers[self.proxy]
+        behind = ledger.behind(now_ms)
+        if lane := ledger.question(now_ms):
+            nonce = self.nonce()
+            self.tables.send(self.proxy, nonce, [], now_ms, lane)
+            out.append(self.response(lane, nonce, [], ledger.released))
         while len(ledger.flights) < self.limits.in_flight_most:
+            apart = bool(ledger.apart)  # parts of what was refused are small, and go by themselves
             changes = self.tables.take(self.proxy, now_ms, self.wants)
+            if not apart:
+                changes = [c for c in changes if urgent(c)] if behind else ledger.piece(changes, now_ms)
             if not changes:
                 break
             for url, group in grouped(changes):
                 nonce = self.nonce()
-                ledger.send(nonce, group, now_ms)
+                self.tables.send(self.proxy, nonce, group, now_ms, url)
                 out.append(self.response(url, nonce, group, ledger.released))
             if not ledger.apart:
                 break
@@ -149,6 +161,11 @@
         return Response(message, number, url, nonce, len(body), len(removed))
 
 
+def urgent(change: Change) -> bool:
+    """Whether a change waits for nobody: an endpoint to keep out."""
+    return change.key[0] == OUT and change.content is not None
+
+
 def grouped(changes: list[Change]) -> list[tuple[str, list[Change]]]:
     """Runs of one type, so that what must go first does; lines and withdrawals share a type and a response.
 
--- a/quillstep/xds/front.py
+++ b/quillstep/xds/front.py
@@ -12,6 +12,7 @@
 from quillstep.settings import PilotRecord
 from quillstep.tables import Refusal, Tables
 from quillstep.tables.content import OUT
+from quillstep.tables.pace import ON_ITS_WAY, Verdict
 from quillstep.xds import resources
 from quillstep.xds.delta import DeltaStream
 from quillstep.xds.grpc import RESOURCE_EXHAUSTED, UNAVAILABLE
@@ -148,7 +149,7 @@
             for response in self.streams[at].pump(now_ms):
                 self.carry(proxy, at, response, now_ms)
             ledger = self.tables.ledgers.get(proxy)
-            if ledger and (look_ms := ledger.look_ms()) is not None:
+            if ledger and (look_ms := ledger.look_ms(now_ms)) is not None:
                 self.held_back[proxy] = max(now_ms, look_ms)
         if now_ms - self.tended_ms > TEND_MS:
             self.tended_ms = now_ms
@@ -168,7 +169,12 @@
         most = self.record.limits.unacknowledged_ms
         for proxy, at in list(self.at.items()):
             warn_overdue(self.tables, proxy, self.nodes[proxy], self.record, self.warned, now_ms, self.log)
-            oldest = self.tables.ledgers[proxy].oldest_flight_ms()
+            ledger = self.tables.ledgers[proxy]
+            for verdict in ledger.judge(now_ms, at[0].heard_ms):
+                self.tell(proxy, verdict, now_ms)
+            if ledger.behind(now_ms):
+                self.held_back[proxy] = now_ms  # it may have to be asked
+            oldest = ledger.oldest_flight_ms()
             if oldest is not None and now_ms - oldest > most:
                 text = f"no acknowledgement within {most:g} ms"
                 self.log.warning("stream ended", proxy=self.nodes[proxy], reason=text)
@@ -177,6 +183,14 @@
                 at[0].stop(text)
                 self.end(at, text, now_ms)
 
+    def tell(self, proxy: int, verdict: Verdict, now_ms: float) -> None:
+        """What is thought of a response without a word."""
+        node, waits_ms = self.nodes[proxy], round(verdict.waits_ms, 1)
+        self.tap("verdict", now_ms, proxy=node, nonce=verdict.nonce, kind=verdict.kind, waits=waits_ms)
+        said = self.log.info if verdict.kind == ON_ITS_WAY else self.log.warning
+        reason = verdict.reason or "it is answered in time again"
+        said("order " + verdict.kind, proxy=node, version=verdict.nonce, waits_ms=waits_ms, reason=reason)
+
     def next_ms(self) -> float:
         waits = min(self.held_back.values(), default=float("inf"))
         return min(waits, self.tended_ms + TEND_MS)
--- a/quillstep/xds/sotw.py
+++ b/quillstep/xds/sotw.py
@@ -85,7 +85,7 @@
             nonce = self.nonce()
             packed = self.state(url)
             version = xxhash.xxh3_64_hexdigest(b"".join(one.SerializeToString() for one in packed))
-            ledger.send(nonce, group, now_ms)
+            self.tables.send(self.proxy, nonce, group, now_ms, url)
             self.newest[url] = nonce
             response = discovery_pb2.DiscoveryResponse(
                 version_info=version, resources=packed, type_url=url, nonce=nonce
--- a/quillstep/xds/stream.py
+++ b/quillstep/xds/stream.py
@@ -69,7 +69,7 @@
             reason = request.error_detail.message or f"code {request.error_detail.code}"
             nonce = request.response_nonce
             return [], self.tables.refuse(self.proxy, nonce, reason, now_ms, self.whole)
-        return self.tables.acknowledge(self.proxy, request.response_nonce), None
+        return self.tables.acknowledge(self.proxy, request.response_nonce, now_ms), None
 
     def bounded(self, names: int) -> None:
         """Raises StreamFault where a peer asks for more names than it may."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -31,6 +31,7 @@
         self.pilot, self.name, self.zone = pilot, name, zone
         self.versions = held or {}
         self.lines, self.refuses, self.waits = {}, False, []
+        self.line_ms = self.free_ms = 0.0  # what a line takes to apply; when the last one was
         self.log, self.last = [], ""
         core, record = pilot.core, pilot.core.record
         self.stream = DeltaStream(core.tables, pilot.encoder, record.limits, "e", core.ordered_ms)
@@ -58,12 +59,19 @@
     def pump(self):
         for response in self.stream.pump(self.pilot.now):
             self.waits.append(discovery_pb2.DeltaDiscoveryResponse.FromString(response.message))
+            if len(self.waits) == 1:
+                self.free_ms = self.pilot.now
 
     def read(self, most=1000):
         """Apply and acknowledge, or refuse, what waits; returns how many."""
         done = 0
         while self.waits and done < most:
-            response = self.waits.pop(0)
+            response = self.waits[0]
+            self.free_ms += self.line_ms * (len(response.resources) + len(response.removed_resources))
+            if self.free_ms > self.pilot.now:
+                self.free_ms -= self.line_ms * (len(response.resources) + len(response.removed_resources))
+                break
+            self.waits.pop(0)
             done += 1
             word = discovery_pb2.DeltaDiscoveryRequest(
                 type_url=response.type_url, response_nonce=response.nonce
--- /dev/null
+++ b/tests/test_late.py
@@ -0,0 +1,356 @@
+"""Orders that are late, stall their proxy, are lost; old versions in the counts; ways of trying again in force."""
+
+import time
+
+import pytest
+from fleet import MemoryPilot, small_day
+from hypothesis import given
+from hypothesis import strategies as st
+
+from quillstep.day.plan import plan
+from quillstep.day.run import Arm, play_arm
+from quillstep.rulecheck import judge
+from quillstep.tables.content import LINE, OUT, terms_of
+from quillstep.tables.pace import LATE, LOST, ON_ITS_WAY, STALLS, Pace, UsualCost
+from quillstep.tables.ways import LOOSEST, Ways, allowed_way
+from quillstep.xds.resources import LEDS
+
+LATE_MS, STALL_MS = 600.0, 40.0
+
+
+def pace(*answers, usual=None):
+    made, now = Pace(LATE_MS, STALL_MS, usual), 0.0
+    for lines, took in answers:
+        made.answered(lines, now, now + took)
+        now += took
+    return made
+
+
+@pytest.mark.parametrize(
+    ("answers", "usual", "line_ms", "most"),
+    [
+        ([], None, None, None),
+        ([], 2.0, 2.0, 20),  # what the others take, until its own is known
+        ([(1, 5.0), (20, 45.0)], None, None, None),  # one answer may have met a busy pilot
+        ([(1, 5.0), (20, 45.0), (20, 65.0)], None, 2.0, 20),  # queues only add: the least counts
+        ([(1, 5.0), (20, 45.0), (20, 65.0)], 0.01, 2.0, 20),
+        ([(1, 5.0), (20, 6.0), (20, 65.0)], None, 0.05, 800),
+        ([(1, 5.0), (20, 400.0), (20, 400.0)], None, 19.75, 4),  # a piece has a few lines, however slow
+    ],
+)
+def test_what_a_line_costs_is_the_least_it_has_cost(answers, usual, line_ms, most):
+    made = pace(*answers, usual=usual)
+    assert made.line_ms() == (pytest.approx(line_ms) if line_ms is not None else None)
+    assert made.lines_most() == most
+
+
+def test_few_slow_proxies_do_not_move_what_is_usual():
+    usual = UsualCost()
+    for at in range(200):
+        usual.add(5.0 if at % 10 == 0 else 0.04)
+    assert usual.line_ms < 0.1
+
+
+@pytest.mark.parametrize(
+    ("waits", "heard", "kind"),
+    [
+        (500.0, None, ON_ITS_WAY),
+        (700.0, None, LATE),
+        (700.0, 100.0, LATE),  # what came before it was due says nothing
+        (700.0, 650.0, STALLS),
+    ],
+)
+def test_a_proxy_that_talks_and_does_not_apply_is_told_from_one_that_is_silent(waits, heard, kind):
+    assert pace().judge("n", 3, 0.0, waits, heard).kind == kind
+
+
+def test_what_surely_takes_long_is_not_late():
+    slow = pace((1, 5.0), (100, 2005.0), (100, 2005.0))
+    now = slow.word_ms
+    assert slow.judge("n", 100, now, now + 3000.0, None).kind == ON_ITS_WAY
+    assert slow.judge("n", 1, now, now + 3000.0, None).kind == LATE
+
+
+def settled(**other):
+    pilot = MemoryPilot(**other)
+    for at in range(3):
+        pilot.join(f"p{at}", "ab"[at % 2])
+    return pilot.run(8000)
+
+
+def order(pilot, write):
+    tables = pilot.core.tables
+    tables.begin()
+    write(tables)
+    for push in tables.commit():
+        tables.release(push.proxy, push.number)
+
+
+def drop(proxy):
+    """Its next response is lost on it."""
+    proxy.pump()
+    return proxy.waits.pop(0)
+
+
+def test_a_response_that_a_later_word_passes_over_is_lost_and_sent_again():
+    pilot = settled()
+    proxy, ledger = pilot.proxies["p0"], pilot.core.tables.ledgers[0]
+    order(pilot, lambda tables: tables.withdraw(3, True, "draining"))
+    lost = drop(proxy)
+    order(pilot, lambda tables: tables.line(0, 4, 55.0))
+    pilot.run(20)
+    assert (OUT, 3) in ledger.held and any("withdrawn/3" in name for name in proxy.held(LEDS))
+    assert [v.kind for v in ledger.judge(pilot.now, None) if v.nonce == lost.nonce] == [LOST]
+
+
+def test_a_lost_drain_is_found_by_a_question_where_nothing_follows_it():
+    pilot = settled()
+    proxy, ledger = pilot.proxies["p0"], pilot.core.tables.ledgers[0]
+    order(pilot, lambda tables: tables.withdraw(3, True, "draining"))
+    lost = drop(proxy)
+    proxy.log.clear()
+    pilot.run(LATE_MS - 50.0)
+    assert (OUT, 3) not in ledger.held
+    pilot.run(200.0)
+    assert (OUT, 3) in ledger.held and lost.nonce not in ledger.flights
+    asked = [(names, removed) for _, names, removed in proxy.log if not names and not removed]
+    assert len(asked) == 1, "one question, without changes"
+
+
+def test_a_staller_is_asked_once_and_told_of_drains_alone_until_it_answers():
+    pilot = settled()
+    proxy, ledger = pilot.proxies["p0"], pilot.core.tables.ledgers[0]
+    order(pilot, lambda tables: tables.line(0, 3, 55.0))
+    proxy.pump()
+    held = len(proxy.waits)
+    for weight in range(60, 70):
+        pilot.run(100.0, read=False)
+        order(pilot, lambda tables, weight=weight: tables.line(0, 3, float(weight)))
+    order(pilot, lambda tables: tables.withdraw(4, True, "draining"))
+    pilot.run(50.0, read=False)
+    late = proxy.waits[held:]
+    drains = [r for r in late if any("withdrawn/4" in each.name for each in r.resources)]
+    assert len(drains) == 1 and ledger.behind(pilot.now)
+    lines = [each.name for r in proxy.waits for each in r.resources if each.name.endswith("table-0/3")]
+    assert len(lines) <= 7, "what is overtaken after it is late is not sent"
+    pilot.run(50.0)
+    assert ledger.held[LINE, 0, 3] == pilot.core.tables.content((LINE, 0, 3)).version and not ledger.flights
+    assert not [v for v in ledger.judge(pilot.now, None) if v.kind == LOST]
+
+
+def test_words_that_come_late_and_in_sequence_are_no_loss():
+    pilot = settled()
+    proxy, ledger = pilot.proxies["p0"], pilot.core.tables.ledgers[0]
+    for weight in (55.0, 56.0, 57.0):
+        order(pilot, lambda tables, weight=weight: tables.line(0, 3, weight))
+        proxy.pump()
+    pilot.run(2000.0, read=False)
+    pilot.run(20.0)
+    kinds = [v.kind for v in ledger.judge(pilot.now, None)]
+    assert LOST not in kinds and not ledger.flights
+
+
+def test_what_stalls_most_is_spread_with_drains_first_and_no_proxy_bare():
+    pilot = MemoryPilot(endpoints=60)
+    proxy = pilot.join("p0")
+    proxy.line_ms = 2.0
+    pilot.run(4000)
+    ledger = pilot.core.tables.ledgers[0]
+    for weight in (21.0, 22.0):  # whole, for nothing is known yet
+        order(pilot, lambda tables, weight=weight: [tables.line(0, at, weight) for at in range(1, 51)])
+        pilot.run(400.0)
+    most = ledger.pace.lines_most()
+    assert most and 10 <= most <= 25
+    proxy.log.clear()
+
+    def write(tables):
+        for endpoint in range(1, 51):
+            tables.line(0, endpoint, 33.0)
+        tables.line(0, 55, 0.0)
+        tables.withdraw(55, True, "draining")
+
+    order(pilot, write)
+    pilot.run(60.0)
+    assert any("withdrawn/55" in name for name in proxy.log[0][1])
+    pilot.run(1500.0)
+    tables = pilot.core.tables
+    assert all(ledger.held[key] == tables.content(key).version for key in tables.keys(0) if key[0] == LINE)
+    sizes = [len(names) + len(removed) for _, names, removed in proxy.log]
+    assert max(sizes) <= 25 and sum(sizes) >= 52
+    gone = next(at for at, row in enumerate(proxy.log) if any(name.endswith("table-0/55") for name in row[2]))
+    assert all(not any(name.endswith("/1") for name in row[1]) for row in proxy.log[gone + 1 :])  # what goes, goes last
+
+
+def cold_return(stale):
+    """Endpoint 3 dies and comes back cold; so many of five proxies never applied its death."""
+    pilot = MemoryPilot()
+    for at in range(5):
+        pilot.join(f"p{at}", "ab"[at % 2])
+    pilot.run(9000)
+    core = pilot.core
+    held = list(pilot.proxies.values())
+    core.roster("partial", [(3, "b", "terminated", 1.0, 0.0)], {})
+    core.heard(pilot.now)
+    for _ in range(60):
+        pilot.now += 10.0
+        core.step(pilot.now)
+        for at, proxy in enumerate(held):
+            proxy.pump()
+            if at >= stale:
+                proxy.read()
+    core.roster("partial", [(3, "b", "in_service", 1.0, pilot.now)], {})
+    core.heard(pilot.now)
+    core.tables.cold[3] = pilot.now
+    order(pilot, lambda tables: (tables.line(0, 3, 2.0), tables.withdraw(3, False, "")))
+    for _ in range(20):
+        pilot.now += 10.0
+        core.tables.stirred.update(core.tables.ledgers)
+        for at, proxy in enumerate(held):
+            proxy.pump()
+            if at >= stale:
+                proxy.read()
+    return pilot, held
+
+
+@pytest.mark.parametrize(("stale", "others"), [(0, True), (1, True), (3, False)])
+def test_a_cold_endpoint_that_old_lines_push_gets_no_more(stale, others):
+    pilot, held = cold_return(stale)
+    out = [any("withdrawn/3" in name for name in proxy.held(LEDS)) for proxy in held[stale:]]
+    assert all(out) if not others else not any(out)
+    for proxy in held:  # those that were behind apply all; then nobody waits any more
+        proxy.read()
+    pilot.run(300.0)
+    lines = {proxy.held(LEDS)[name] for proxy in held for name in proxy.held(LEDS) if name.endswith("table-0/3")}
+    assert len(lines) == 1
+
+
+SAFE, KEYED, UNSAFE = (allowed_way(each) for each in ("safe", "keyed", "unsafe"))
+
+
+def loose(ways, now):
+    return {row.place: row.proxies for row in ways.standing(now)}
+
+
+def test_a_tighter_way_is_in_force_when_it_is_acknowledged_and_the_last_exchange_is_over():
+    ways = Ways([UNSAFE], [1000.0])
+    ways.join(1, True, 0)
+    ways.allowed = [2]
+    ways.send(1, "a", {0: 2})
+    ways.acknowledge(1, "a", 100.0)
+    ways.allowed = [UNSAFE]  # as new settings would have it
+    ways.moved = True
+    assert loose(ways, 200.0) == {0: [1]}
+    ways.send(1, "b", {0: 1})
+    assert loose(ways, 300.0) == {0: [1]}  # sent is not held
+    ways.acknowledge(1, "b", 400.0)
+    assert [(told.loose, told.tight) for told in ways.changes(1350.0)] == [([1], [])]
+    assert loose(ways, 1399.0) == {0: [1]} and loose(ways, 1401.0) == {}
+    assert ways.due_ms == 1400.0
+    assert [(told.loose, told.tight) for told in ways.changes(1400.1)] == [([], [1])]
+
+
+@pytest.mark.parametrize("steps", [["refuse"], ["rejoin"], ["leave"], ["unknown"]])
+def test_what_is_not_known_to_be_tight_counts_as_loose(steps):
+    ways = Ways([UNSAFE], [1000.0])
+    ways.join(1, "unknown" not in steps, 0)
+    ways.send(1, "a", {0: 2})
+    if "refuse" in steps:
+        ways.acknowledge(1, "a", 0.0)
+        ways.send(1, "b", {0: 1})
+        ways.refuse(1, "b")
+    if "rejoin" in steps:  # it may have applied what its old stream brought
+        ways.send(1, "b", {0: 1})
+        ways.join(1, False, 0)
+    assert loose(ways, 5000.0) == {0: [1]}
+
+
+def test_a_looser_way_counts_from_its_sending_on():
+    ways = Ways([KEYED], [1000.0])
+    ways.join(1, True, 0)
+    ways.send(1, "a", {0: LOOSEST})
+    assert ways.loosest(1, 0, 0.0) == LOOSEST
+    ways.send(1, "b", {0: 1})
+    ways.acknowledge(1, "b", 10.0)  # the first was overtaken: it may have been held for a while
+    assert ways.loosest(1, 0, 20.0) == LOOSEST and ways.loosest(1, 0, 1011.0) == 1
+
+
+@given(st.lists(st.sampled_from(["loosen", "tighten", "ack", "nack", "apply", "begin", "rejoin", "wait"]), max_size=30))
+def test_no_exchange_goes_by_a_way_that_is_not_counted(steps):
+    """A proxy on its own side of the stream: whatever it goes by, the pilot has counted."""
+    ways, now, nonce = Ways([UNSAFE], [100.0]), 0.0, 0
+    ways.join(1, True, 0)
+    holds, waits, words, running = 0, [], [], []
+    for step in steps:
+        now += 30.0
+        if step in ("loosen", "tighten"):
+            nonce += 1
+            ways.send(1, str(nonce), {0: 2 if step == "loosen" else 1})
+            waits.append((str(nonce), 2 if step == "loosen" else 1))
+        elif step == "apply" and waits:
+            name, holds = waits.pop(0)
+            words.append((name, True))
+        elif step == "nack" and waits:
+            words.append((waits.pop(0)[0], False))
+        elif step == "ack" and words:
+            name, good = words.pop(0)
+            ways.acknowledge(1, name, now) if good else ways.refuse(1, name)
+        elif step == "rejoin":
+            waits, words = [], []
+            ways.join(1, False, 0)
+        elif step == "begin":
+            running.append((holds, now + 100.0))
+        running = [row for row in running if row[1] > now]
+        assert ways.loosest(1, 0, now) >= max([holds, *(way for way, _ in running)])
+
+
+def test_a_table_means_another_zone_only_under_another_number():
+    base, other = terms_of(["a", "b"], True), terms_of(["b", "a"], True)
+    assert base != other and base >= 2**24 and terms_of(["a", "b"], False) == 0
+    assert terms_of(["a", "b"], True) == base
+
+
+TIMES = {"agreed_ms": 400.0, "cut_off_ms": 1200.0, "work_ms": 20.0}
+KINDS = [
+    {"name": "lookup", "credit": 1.0, "semantics": "safe", "share": 0.3, **TIMES},
+    {"name": "save", "credit": 2.0, "semantics": "keyed", "scope": "all", "window_ms": 4000.0, "share": 0.5, **TIMES},
+    {"name": "issue", "credit": 3.0, "semantics": "unsafe", "share": 0.2, **TIMES},
+]
+
+
+def tight_day():
+    """A class becomes unsafe while answers are lost; one proxy is cut off, one answers late, two lose a response."""
+    knobs = {"report_every_ms": 300.0, "dial_ms": 100.0, "standing": 2, "base_tries": 0}
+    return small_day(
+        seconds=15.0, warm_up_s=7.0, proxies=8, pilots=2, exchanges_per_s=90.0, file_proxies=0.13, sotw_proxies=0.13,
+        fleet={"zones": ["a", "b"], "classes": KINDS, "proxies": knobs},
+        troubles=[
+            {"at_s": 0.5, "for_s": 14.0, "what": "lose_answers", "count": 2, "factor": 1.5},
+            {"at_s": 1.5, "for_s": 4.0, "what": "proxy_cut", "count": 2},
+            {"at_s": 2.0, "for_s": 12.0, "what": "tighten", "kind": "save"},
+            {"at_s": 2.5, "for_s": 4.0, "what": "proxy_late_words", "count": 2, "factor": 0.5},
+            {"at_s": 6.0, "for_s": 1.0, "what": "proxy_loses", "count": 3, "factor": 1},
+        ],
+    )  # fmt: skip
+
+
+def test_no_repeat_runs_where_endpoints_forget_only_once_the_tighter_way_is_in_force(tmp_path):
+    evidence = play_arm(tight_day(), tmp_path / "learnt").evidence()
+    assert judge(evidence) == []
+    forgot = [row["at"] for row in evidence.commands if row["do"] == "tighten"]
+    assert forgot, "the pilots said so in time"
+    repeated = [row for row in evidence.exchanges if row["class"] == "save" and len(row["tries"]) > 1]
+    assert any(row["tries"][0][3] != "no connection" for row in repeated), "the older way was gone by"
+    assert {row["kind"] for row in evidence.ways} >= {"save", "issue"}
+
+
+def test_the_judge_finds_endpoints_that_forget_before_they_are_told(tmp_path):
+    """The broken twin: nobody waits for the pilots' word."""
+    day = tight_day()
+    arm = Arm(day, plan(day), "learnt", tmp_path / "learnt")
+    arm.in_force = lambda kind, begun_ms: True
+    try:
+        arm.start()
+        arm.play(time.monotonic() * 1000.0 + day.warm_up_s * 1000.0)
+    finally:
+        arm.stop()
+    assert "twice" in {found.rule for found in judge(arm.evidence())}
