--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -412,6 +412,27 @@
     sys.exit(1 if chain.gaps else 0)
 
 
+@cli.command()
+@click.option("--depth", default=12, show_default=True, help="Steps of the model; the code is explored half as deep.")
+def prove(depth: int) -> None:
+    """Check the stream protocol within bounds: z3 on its model, all nearby states of the real code, broken twins.
+
+    The last line of standard output is one JSON object; status 1 if anything is wrong or a twin is not found.
+    """
+    from quillstep.proof.prove import prove as run
+
+    found = run(depth)
+    table = Table(title="the stream protocol, within bounds")
+    for name in ("by", "what", "twin", "depth", "states", "took_s", "run"):
+        table.add_column(name, justify="right" if name in ("depth", "states", "took_s") else "left")
+    for row in found["rows"]:
+        cells = [str(row.get(name, "")) for name in ("by", "what", "twin", "depth", "states", "took_s")]
+        table.add_row(*cells, "; ".join(row["run"]))
+    Console(stderr=True).print(table)
+    click.echo(msgspec.json.encode({name: value for name, value in found.items() if name != "rows"}).decode())
+    sys.exit(1 if found["wrong"] or found["twins_found"] < found["twins"] else 0)
+
+
 @cli.group()
 def bench() -> None:
     """Measurements on loopback; the last line of standard output is one JSON object."""
@@ -477,6 +498,26 @@
     finish(found, out)
 
 
+@bench.command("lineage")
+@click.option("--proxies", default=262, show_default=True)
+@click.option("--exchanges", default=860.0, show_default=True, help="A second.")
+@click.option("--seconds", default=20.0, show_default=True, help="Of each arm.")
+@click.option("--turns", default=2, show_default=True, help="Of each arm: nothing kept, the record, record and spans.")
+@click.option("--depth", default=12, show_default=True, help="Of the model, as in `quillstep prove`.")
+@click.option(
+    "--record", "folder", type=click.Path(), default=".day/bench", help="Where the sockets' record goes."
+)
+@click.option("--out", type=click.Path(), help="A file to keep the result in.")
+def bench_lineage(
+    proxies: int, exchanges: float, seconds: float, turns: int, depth: int, folder: str, out: str | None
+) -> None:
+    """Every answer of a run traced, verdicts on late orders against the truth, costs, spreading, the model."""
+    from quillstep.bench.lineage import run
+
+    logs.set_up("auto", "error")
+    finish(run(proxies, exchanges, seconds, turns, depth, Path(folder)), out)
+
+
 @bench.command("replay")
 @click.option("--proxies", default=262, show_default=True)
 @click.option("--exchanges", default=860.0, show_default=True, help="A second, of the large day.")
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -37,9 +37,10 @@
         self.planner = PLANNERS[record.decides](self.facts, record.seed)
         classes = record.fleet.classes
         self.ways = Ways([allowed_way(row.semantics) for row in classes], [row.cut_off_ms for row in classes])
+        stall_ms = STALL_PART * min(row.agreed_ms for row in classes) if record.limits.spreads else 0.0
         self.tables = Tables(
             len(classes), proxies.admission, proxies.base_tries, channel.lines_per_message, ways=self.ways,
-            late_most_ms=channel.late_most_ms, stall_ms=STALL_PART * min(row.agreed_ms for row in classes),
+            late_most_ms=channel.late_most_ms, stall_ms=stall_ms,
             messages_most=channel.messages_most, messages_over_ms=channel.messages_over_ms,
         )  # fmt: skip
         self.terms = terms_of(record.fleet.zones, any(row.home_only for row in classes))
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -72,6 +72,11 @@
                 record.model_dump(),
                 record.capture.segment_bytes,
             )
+        self.spans: Any = None
+        if record.spans.file:
+            from quillstep.lineage.spans import Spans  # only who wants spans needs the library for them
+
+            self.spans = Spans(record.spans.file, record.spans.part, record.spans.most_per_s, record.name)
         self.reader: ThreadReader | None = None
         self.processes: Processes | None = None
         if record.reports.by == "thread":
@@ -102,6 +107,8 @@
         self.socket_record.tap(what, at_ms, **fields)
         if self.capture:
             self.capture.put(["sent", at_ms, at_ms, what, fields])
+        if self.spans:
+            self.spans.tap(self.epoch, what, at_ms, fields)
 
     def run(self) -> None:
         """Decide until `stop`; one round's failure is logged with its cause and ends the process."""
@@ -123,6 +130,8 @@
             if part:
                 part.stop()
         self.socket_record.flush()
+        if self.spans:
+            self.spans.stop()
         if self.capture:
             self.capture.close()
             self.log.info("capture closed", records=self.capture.written, cpu_s=round(self.capture.cpu_s, 3))
@@ -150,6 +159,8 @@
             if self.core.rounds != rounds:
                 self.capture.put(["orders", now, now, self.core.rounds, self.core.orders])
             self.capture.flush()
+        if self.spans and self.core.rounds != rounds:
+            self.spans.round(self.epoch, self.core.tables.number, now, self.now_ms(), late_ms=max(0.0, now - due))
         for endpoint, host, port in self.core.probes:
             self.prober.ask(endpoint, host, port)
         self.core.probes = []
@@ -173,8 +184,10 @@
         late = {f"p{part:g}": self.late.get_value_at_percentile(part) / 10.0 for part in (50.0, 99.0)}
         late["worst"] = self.late.get_max_value() / 10.0 if self.late.get_total_count() else 0.0
         names = [row.name for row in self.record.fleet.classes]
+        usual_ms = self.core.tables.line_cost.line_ms()
         self.log.info(
             "reports read", rounds=self.core.rounds, rounds_late_ms=late, **self.core.intake.summary(names),
+            line_ms=usual_ms and round(usual_ms, 3),
             cpu_s={**self.cpu_s, "deciding": round(time.thread_time(), 3), "process": round(time.process_time(), 3)},
         )  # fmt: skip
 
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -77,6 +77,7 @@
     dial_ms: Positive = 300.0  # waits before a stream is dialled again
     connect_ms: Positive = 250.0
     idle_ms: Positive = 3000.0  # an unused connection to an endpoint is closed
+    line_ms: NotBelow0 = 0.04  # that a proxy stands still for each line it applies; what stand-ins take for it
 
 
 class LimitsRecord(Record):
@@ -93,6 +94,7 @@
     ping_ms: Positive = 3000.0
     connections_most: Annotated[int, Field(ge=1)] = 2048
     subscriptions_most: Annotated[int, Field(ge=1)] = 4096
+    spreads: bool = True  # what makes a proxy stand still for long goes in pieces; false: the baseline, all at once
     news_most: Annotated[int, Field(ge=1)] = 4096  # messages between readers and the deciding thread
 
 
@@ -130,6 +132,14 @@
     sampling: bool = True  # under pressure not all proxies report in full
 
 
+class SpansRecord(Record):
+    """Spans of rounds, pushes, applications and exchanges, as OTLP JSON lines; an empty file: none."""
+
+    file: str = ""
+    part: Share = 0.05  # of all rounds, and of all exchanges
+    most_per_s: Positive = 100.0  # spans of one process
+
+
 class ProbeRecord(Record):
     """Health checks of endpoints."""
 
@@ -165,6 +175,7 @@
     files: FilesRecord = FilesRecord()
     reports: ReportsRecord = ReportsRecord()
     capture: CaptureRecord = CaptureRecord()
+    spans: SpansRecord = SpansRecord()
     record: str = ""  # a file for what passed on this pilot's sockets
 
 
@@ -226,6 +237,8 @@
     file_proxies: Share = 0.0  # the part that follows files
     files: FilesRecord = FilesRecord()
     capture: bool = False  # pilots capture what comes in, below the day's record
+    record: bool = True  # pilots write down what passes on their sockets; without it nothing can be judged or traced
+    spans: Share = 0.0  # the part of rounds and exchanges that pilots and proxies write spans of
     pilots: Annotated[int, Field(ge=1)] = 2
     exchanges_per_s: Positive
     callers_skew: NotBelow0 = 1.0  # how unevenly traffic comes to the proxies; 0: evenly
--- a/quillstep/standins/process.py
+++ b/quillstep/standins/process.py
@@ -38,6 +38,10 @@
         if lines:
             self.file.write(b"\n".join(lines) + b"\n")
 
+    def close(self) -> None:
+        """Write out what is left; the process ends."""
+        self.flush()
+
     def run(self) -> None:
         while True:
             time.sleep(FLUSH_S)
@@ -60,5 +64,5 @@
     for line in sys.stdin.buffer:
         if line.strip():
             take(msgspec.json.decode(line))
-    record.flush()
+    record.close()
     os._exit(0)
--- a/quillstep/standins/proxies.py
+++ b/quillstep/standins/proxies.py
@@ -363,6 +363,27 @@
         return heapq.merge(*(self.of(proxy) for proxy in self.drawers))
 
 
+class SpannedRecord(Record):
+    """A record whose applications and exchanges are told as spans too."""
+
+    def __init__(self, path: str, spans: dict[str, Any]) -> None:
+        super().__init__(path)
+        from quillstep.lineage.spans import Spans  # only who wants spans needs the library for them
+
+        self.spans = Spans(**spans)
+
+    def put(self, **fields: Any) -> None:
+        super().put(**fields)
+        if fields["what"] == "exchange":
+            self.spans.exchange(fields)
+        elif fields["what"] in ("applied", "refused"):
+            self.spans.apply(fields["proxy"], fields)
+
+    def close(self) -> None:
+        super().close()
+        self.spans.stop()
+
+
 class Host:
     """All proxies of this process."""
 
@@ -372,7 +393,7 @@
         self.proxies = setup["knobs"]
         self.base_tries = self.proxies["base_tries"]
         self.rates = self.proxies["admission"] == "rate"
-        self.record = Record(setup["record"])
+        self.record = SpannedRecord(setup["record"], setup["spans"]) if setup["spans"] else Record(setup["record"])
         self.script = Script(setup)
         self.all = {row["name"]: Proxy(row, self) for row in setup["proxies"]}
         self.work: queue.SimpleQueue[tuple] = queue.SimpleQueue()
--- a/quillstep/tables/pace.py
+++ b/quillstep/tables/pace.py
@@ -6,31 +6,32 @@
 """
 
 from collections import deque
+from statistics import median
 from typing import NamedTuple
 
 ON_ITS_WAY, LATE, STALLS, LOST = "on its way", "late", "stalls", "lost"
 SMALL, LARGE = 2, 8  # lines: what a round trip is told by, and what a line's cost is told by
+LOOKED_BACK, ENOUGH = 64, 8  # answers of all proxies: that are looked back on, that say something
 BELIEVED = 2  # answers of many lines that tell a proxy's own cost
 KEPT = 8  # answers of each size that are looked back on
 STALL_PART = 0.1  # of the shortest agreed time: as long as one piece may make a proxy stand still
+FIRST_LINES = 16  # of one piece while nothing is known of anybody
 LEAST_LINES = 4  # of a piece, however long they take
 REST = 1.0  # after a piece the proxy has its time for exchanges: as long again as it stood still
 
 
 class UsualCost:
-    """What a line costs most proxies: a median that moves by a step a sample, whatever the sample's size.
-
-    Ma, Muthukrishnan, Sandler: Frugal Streaming for Estimating Quantiles, 2013.  Few slow ones don't move it.
-    """
-
-    STEP, LEAST_MS = 1.25, 0.01
+    """What a line costs most proxies: the median of the last answers, whoever gave them; few slow ones don't count."""
 
     def __init__(self) -> None:
-        self.line_ms = self.LEAST_MS
+        self.answers: deque[float] = deque(maxlen=LOOKED_BACK)
 
     def add(self, line_ms: float) -> None:
-        step = self.STEP if line_ms > self.line_ms else 1.0 / self.STEP
-        self.line_ms = max(self.LEAST_MS, self.line_ms * step)
+        self.answers.append(line_ms)
+
+    def line_ms(self) -> float | None:
+        """None until enough have answered."""
+        return median(self.answers) if len(self.answers) >= ENOUGH else None
 
 
 class Verdict(NamedTuple):
@@ -85,9 +86,11 @@
     def lines_most(self) -> int | None:
         """The lines of one piece; None: all at once."""
         line_ms = self.line_ms()
-        if not line_ms or not self.stall_ms:
+        if not self.stall_ms:
             return None
-        return max(LEAST_LINES, int(self.stall_ms / line_ms))
+        if line_ms is None:
+            return FIRST_LINES
+        return max(LEAST_LINES, int(self.stall_ms / line_ms)) if line_ms else None
 
     def late_ms(self, lines: int) -> float:
         """From when on a response of so many lines is late: the settings' figure, or what it surely takes."""
--- a/quillstep/tables/world.py
+++ b/quillstep/tables/world.py
@@ -80,7 +80,7 @@
 
     def join(self, proxy: int, zone: str, held: Mapping[Key, str]) -> Ledger:
         """A proxy's stream stands; it keeps what it says it holds until it is bound."""
-        pace = Pace(self.late_most_ms, self.stall_ms, self.line_cost.line_ms)
+        pace = Pace(self.late_most_ms, self.stall_ms, self.line_cost.line_ms())
         ledger = self.ledger_type(proxy, zone, pace, Ration(*self.messages), dict(held))
         ledger.released = self.number
         self.leave(proxy)
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -295,6 +295,23 @@
     assert step(3000.0) is None or lane.newest[LINE, 0, 3] != refused.contents[LINE, 0, 3]
 
 
+def test_a_content_that_comes_round_again_is_held_by_its_own_generations_word_alone():
+    pilot = MemoryPilot()
+    lane, step = lane_of(pilot)
+    tables = pilot.core.tables
+    lane.word(tables, step().number, "", pilot.now)
+    made = []
+    for weight in (55.0, 66.0, 55.0):
+        order(pilot, lambda tables, weight=weight: tables.line(0, 3, weight))
+        made.append(step())
+    ledger = tables.ledgers[lane.proxy]
+    assert made[0].contents[LINE, 0, 3] == made[2].contents[LINE, 0, 3] and made[0].number < made[2].number
+    lane.word(tables, made[0].number, "", pilot.now)
+    assert (LINE, 0, 3) in ledger.sent
+    lane.word(tables, made[2].number, "", pilot.now)
+    assert not ledger.flights and ledger.held[LINE, 0, 3] == made[2].contents[LINE, 0, 3].version
+
+
 @pytest.mark.parametrize("number", [-1, 99, 7])
 def test_an_acknowledgement_of_a_generation_that_never_was_is_void(number):
     pilot = MemoryPilot()
