--- a/quillstep/cli/main.py
+++ b/quillstep/cli/main.py
@@ -8,10 +8,12 @@
 
 import click
 import msgspec
+import structlog
 from rich.console import Console
 from rich.table import Table
 
 from quillstep import logs
+from quillstep.cli.store import store, tables
 from quillstep.settings import DayRecord, Fault, PilotRecord, changed, load
 
 
@@ -42,9 +44,20 @@
     record = checked(PilotRecord, settings)
     from quillstep.files.disk import Refused
     from quillstep.pilot.service import Pilot
+    from quillstep.store import StoreTrouble
+    from quillstep.store.keeper import opened
 
+    kept = None
     try:
-        running = Pilot(record)
+        kept = opened(record.store) if record.store.folder else None
+    except StoreTrouble as trouble:
+        if trouble.kind == "newer":
+            click.echo(f"quillstep: {settings}: store.folder: {trouble}", err=True)
+            sys.exit(2)
+        structlog.get_logger("store").error("store left out", kind=trouble.kind, reason=str(trouble))
+        record = record.model_copy(update={"store": record.store.model_copy(update={"folder": ""})})
+    try:
+        running = Pilot(record, kept)
     except Refused as trouble:
         click.echo(f"quillstep: {settings}: files.root: {trouble}", err=True)
         sys.exit(2)
@@ -433,6 +446,10 @@
     sys.exit(1 if found["wrong"] or found["twins_found"] < found["twins"] else 0)
 
 
+cli.add_command(tables)
+cli.add_command(store)
+
+
 @cli.group()
 def bench() -> None:
     """Measurements on loopback; the last line of standard output is one JSON object."""
--- a/quillstep/day/run.py
+++ b/quillstep/day/run.py
@@ -101,8 +101,9 @@
             files=self.day.files.model_copy(update={"root": self.root(at) if self.with_files else ""}),
             reports=self.day.reports.model_copy(update={"listen": listen}),
             capture={"folder": str(self.folder / f"capture-{at}")} if self.day.capture else {},  # type: ignore[arg-type]
+            store={"folder": str(self.folder / f"store-{at}")} if self.day.store else {},  # type: ignore[arg-type]
             record=str(self.folder / f"pilot-{at}.jsonl") if self.day.record else "",
-            spans=self.spans(f"pilot-{at}") or {},  # type: ignore[arg-type]
+            gate=self.day.gate, spans=self.spans(f"pilot-{at}") or {},  # type: ignore[arg-type]
         )  # fmt: skip
         path = self.folder / f"pilot-{at}.cue"
         path.write_bytes(msgspec.json.format(msgspec.json.encode(record.model_dump())))  # JSON is CUE
--- a/quillstep/lineage/news.py
+++ b/quillstep/lineage/news.py
@@ -31,7 +31,7 @@
         if kind in NEWS:
             news.append(record)
         elif kind == "orders":
-            if record[3] == number:
+            if record[5 if len(record) > 5 else 3] == number:  # older captures: orders and rounds were one
                 return made(record, news, resource)
             news = []
     return None
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -4,6 +4,7 @@
 """
 
 import heapq
+from collections import deque
 from collections.abc import Iterable
 from typing import Any
 
@@ -18,13 +19,23 @@
 from quillstep.reports.intake import INTAKE_PART, Intake
 from quillstep.rules import Planner
 from quillstep.settings import PilotRecord, start_facts
-from quillstep.tables import Tables
+from quillstep.tables import Push, Tables
+from quillstep.tables.book import Book, Version, version_of
 from quillstep.tables.content import terms_of
+from quillstep.tables.gate import Gate
 from quillstep.tables.pace import STALL_PART
 from quillstep.tables.ways import Ways, allowed_way
 
 PLANNERS: dict[str, Any] = {"learnt": Planner, "even": EvenPlanner, "listed": ListedPlanner}
 ORDERS_KEPT = 4096  # whose times are remembered
+URGENT_KEPT = 256  # orders with an endpoint to keep out
+CATCH_UP_MS = 200.0  # between two orders of the book's own, where messages have no limit
+CATCH_UP_PART = 0.5  # of the channel's limit that these may fill
+HELD_AGAIN_MS = 10000.0  # between two lines of the log on the same thing
+
+
+def forget(version: Version) -> None:
+    """There is no store."""
 
 
 class Core:
@@ -43,6 +54,17 @@
             late_most_ms=channel.late_most_ms, stall_ms=stall_ms,
             messages_most=channel.messages_most, messages_over_ms=channel.messages_over_ms,
         )  # fmt: skip
+        knobs = record.gate
+        gate = Gate(knobs.moves_most, knobs.moves_over_ms, self.ways.allowed) if knobs.on else None
+        self.versions: list[Version] = []  # that have come to stand, and are to be stored
+        self.book = Book(self.tables, gate, self.versions.append if record.store.folder else forget)
+        self.granted: list[tuple[str, str, list[Version]]] = []  # operators' wishes: key, kind, versions or tables
+        self.durable = 0.0 if record.store.folder else float("inf")  # orders up to this one are stored
+        self.unstored: deque[tuple[Push, float]] = deque()  # pushes that have left the channel and wait for the store
+        self.urgent: deque[int] = deque(maxlen=URGENT_KEPT)  # orders that wait for no store
+        self.late_stores = 0  # pushes that left before they were durable
+        self.catch_up_ms = 0.0  # when tables that wait are looked at next
+        self.told_held: dict[tuple[int, str, int, int], float] = {}  # what the gate kept, and when it was told
         self.terms = terms_of(record.fleet.zones, any(row.home_only for row in classes))
         self.started: dict[int, float] = {}  # when each listed endpoint started, 0: long ago
         self.channel = Channel(channel.lines_per_s)
@@ -158,8 +180,7 @@
     def step(self, now_ms: float) -> None:
         """Let pushes leave, and call the module if anything is due; the caller then has its fronts pump."""
         self.now_ms = now_ms
-        for push in self.channel.leave(now_ms):
-            self.tables.release(push.proxy, push.number)
+        self.let_go(now_ms)
         if self.gatherer.due_ms() <= now_ms:
             self.complain(self.gatherer.complaints)
             self.gatherer.complaints = []
@@ -170,6 +191,90 @@
             self.heard(now_ms)
         if self.listed and self.due_ms() <= now_ms:
             self.round(now_ms)
+        if self.book.waits() and self.catch_up_ms <= now_ms:
+            self.catch_up(now_ms)
+
+    def let_go(self, now_ms: float) -> None:
+        """Release what has left the channel and is durable; drains and deaths wait for no disk, nothing waits long."""
+        self.unstored.extend((push, now_ms) for push in self.channel.leave(now_ms))
+        wait_ms = self.record.store.wait_most_ms
+        kept: deque[tuple[Push, float]] = deque()
+        while self.unstored:
+            push, since_ms = self.unstored.popleft()
+            stored = push.number <= self.durable or push.number in self.urgent
+            if not stored and now_ms < since_ms + wait_ms:
+                kept.append((push, since_ms))
+                continue
+            if not stored:
+                self.late_stores += 1
+            self.tables.release(push.proxy, push.number)
+        self.unstored = kept
+
+    def catch_up(self, now_ms: float) -> None:
+        """An order of the book's own: what operators or the gate kept apart moves on, as the channel has room."""
+        channel = self.record.fleet.channel
+        gap_ms = channel.messages_over_ms / channel.messages_most if channel.messages_most else 0.0
+        self.catch_up_ms = now_ms + max(CATCH_UP_MS, gap_ms)
+        room = CATCH_UP_PART * channel.lines_waiting_most - self.channel.waiting
+        self.look(now_ms)
+        self.tables.begin()
+        self.ordered[self.tables.number] = now_ms
+        self.book.catch_up(room - channel.lines_per_message * len(self.zones))
+        self.channel.put(self.tables.commit(), now_ms)
+        self.tell_held(now_ms)
+
+    def look(self, now_ms: float) -> None:
+        """What the book and the gate go by."""
+        rules = self.record.fleet.rules
+        warm_ms = rules.warm_after_ms
+        self.tables.cold = {e: at for e, at in self.started.items() if at and now_ms - at < warm_ms}
+        self.book.now_ms = now_ms
+        self.book.seen.ready = {endpoint for endpoint, state in self.states.items() if state == "in_service"}
+        low = rules.start_capacity
+        self.book.seen.part = {
+            e: low + (1.0 - low) * max(0.0, now_ms - at) / warm_ms for e, at in self.tables.cold.items()
+        }
+
+    def tell_held(self, now_ms: float) -> None:
+        """Say what the gate kept, each thing once in a while."""
+        held, self.book.held = self.book.held, []
+        for each in held:
+            key = (each.table, each.rule, each.endpoint, each.place)
+            if now_ms - self.told_held.get(key, float("-inf")) > HELD_AGAIN_MS:
+                self.told_held[key] = now_ms
+                self.log.warning("held by the gate", rule=each.rule, reason=each.reason, table=each.table - self.terms,
+                                 endpoint=each.endpoint, place=each.place)  # fmt: skip
+
+    def from_store(self, kind: str, what: Any, more: list[Any]) -> None:
+        """News of the store: what the last life left, what is durable, what operators ask for, that it is lost."""
+        if kind == "opened":
+            for told in what:
+                self.book.remember(version_of(told))
+            for told, cause, who in more:
+                self.book.pin(version_of(told)._replace(cause=cause, who=who))
+                self.log.info("table pinned", table=told[1] - self.terms, version=told[0], by=who, cause=cause)
+        elif kind == "stored":
+            self.durable = max(self.durable, what)
+        elif kind == "lost":
+            self.durable = float("inf")
+        else:
+            self.grant(what, *more)
+
+    def grant(self, key: str, kind: str, targets: list[Any], who: str) -> None:
+        """An operator's wish: tables stay at versions from now on, or the module has them back."""
+        done = []
+        for table, told in targets:
+            if kind == "release":
+                if self.book.release(table):
+                    self.log.info("table released", table=table - self.terms, by=who)
+                done.append(Version("", table, "", kind, who, 0.0, 0, {}, {}))
+            elif told:
+                version = version_of(told)._replace(cause=kind, who=who)
+                self.book.pin(version)
+                self.log.info("table pinned", table=table - self.terms, version=version.name, by=who, cause=kind)
+                done.append(version)
+        self.granted.append((key, kind, done))
+        self.catch_up_ms = 0.0  # at once
 
     def ask(self, asked: list[Asked]) -> None:
         for each in asked:
@@ -200,6 +305,10 @@
     def next_ms(self) -> float:
         """When `step` has something to do next."""
         due = min(self.due_ms(), self.channel.next_ms(), self.gatherer.due_ms())
+        if self.book.waits():
+            due = min(due, self.catch_up_ms)
+        if self.unstored:
+            due = min(due, self.unstored[0][1] + self.record.store.wait_most_ms)
         return due if self.by_inbox else min(due, self.intake.plan_ms())
 
     def round(self, now_ms: float) -> None:
@@ -212,8 +321,7 @@
             incoming.sums, incoming.arrivals = intake.hand_over(now_ms)
             incoming.arrivals = [row for row in incoming.arrivals if row[1] in self.zones]
         self.tables.begin()
-        warm_ms = self.record.fleet.rules.warm_after_ms
-        self.tables.cold = {e: at for e, at in self.started.items() if at and now_ms - at < warm_ms}
+        self.look(now_ms)
         for endpoint, host, port in self.placed:
             self.tables.place(endpoint, host, port)
         self.placed = []
@@ -224,8 +332,10 @@
         self.planner.round(
             incoming, Writer(self) if self.orders is None else KeepingWriter(self, self.orders)
         )
+        self.book.flush()
         self.channel.put(self.tables.commit(), now_ms)
         self.rounds += 1
+        self.tell_held(now_ms)
 
     def ordered_ms(self, number: int) -> float:
         return self.ordered.get(number, self.now_ms)
@@ -238,21 +348,24 @@
         self.core = core
 
     def line(self, table: int, endpoint: int, weight: float) -> None:
-        self.core.tables.line(self.core.terms + table, endpoint, weight)
+        self.core.book.line(self.core.terms + table, endpoint, weight)
 
     def withdraw(self, endpoint: int, out: bool) -> None:
         core = self.core
         status = "draining" if core.states.get(endpoint) == "terminating" else "lost"
         core.tables.withdraw(endpoint, out, status)
+        if out:
+            core.urgent.append(core.tables.number)
         where = "{}:{}".format(*core.tables.addresses.get(endpoint, ("", 0)))
         said = "endpoint withdrawn" if out else "endpoint let back"
         core.log.info(said, endpoint=endpoint, address=where, status=status if out else "ready")
 
     def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
+        self.core.book.flush(self.core.terms + table)
         self.core.tables.bind(proxy, self.core.terms + table, classes)
 
     def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
-        self.core.tables.level(self.core.terms + table, classes, allowed, tries)
+        self.core.book.level(self.core.terms + table, classes, allowed, tries)
 
     def probe(self, endpoint: int) -> None:
         if endpoint in self.core.tables.addresses:
--- a/quillstep/pilot/decide.py
+++ b/quillstep/pilot/decide.py
@@ -49,6 +49,8 @@
             self.core.probed(*news[1:])
         elif news[0] == "reports":
             self.core.gathered(news[2])
+        elif news[0] == "store":
+            self.core.from_store(*news[1:])
         elif news[0] == "files":
             if self.files:
                 self.files.take(news, now_ms)
--- a/quillstep/pilot/service.py
+++ b/quillstep/pilot/service.py
@@ -19,6 +19,8 @@
 from quillstep.reports.processes import Processes
 from quillstep.reports.reader import ThreadReader
 from quillstep.settings import PilotRecord
+from quillstep.store import Store
+from quillstep.store.keeper import Keeper
 from quillstep.xds.peer import STACK_BYTES
 from quillstep.xds.server import Server
 
@@ -26,6 +28,8 @@
 SUMS_MOST = 64  # windows of sums that may wait for the deciding thread
 IDLE_S = 0.5
 SWITCH_S = 0.001  # that another thread may hold the interpreter while the deciding one waits for it
+SENT_MOST = 65536  # responses without a word whose order is remembered
+HOLDS_MS = 1000.0  # between two looks at what proxies hold
 SAY_MS = 10000.0  # between two lines on what was read of load reports
 LATE_MOST = 600_000  # tenths of a millisecond that the histogram of rounds reaches to
 
@@ -52,7 +56,7 @@
 class Pilot:
     """Wires decider, prober, roster and capture together; `run` is the deciding thread."""
 
-    def __init__(self, record: PilotRecord) -> None:
+    def __init__(self, record: PilotRecord, store: Store | None = None) -> None:
         threading.stack_size(STACK_BYTES)
         sys.setswitchinterval(SWITCH_S)
         self.record = record
@@ -63,8 +67,14 @@
         self.core = self.decider.core
         self.capture: Capture | None = None
         self.teller = Teller()
-        if record.capture.folder:
+        self.keeper = Keeper(record.store, store, self.epoch, self.put) if store else None
+        self.kept_number = 0  # the last order that the store has been given
+        self.orders_sent: dict[tuple[str, str], int] = {}  # by proxy and nonce, without a word yet
+        self.holds: dict[str, int] = {}  # the order that each proxy acknowledged last, not stored yet
+        self.holds_ms = 0.0
+        if store or record.capture.folder:
             self.core.orders = []
+        if record.capture.folder:
             self.capture = Capture(
                 record.capture.folder,
                 record.name,
@@ -109,11 +119,47 @@
             self.capture.put(["sent", at_ms, at_ms, what, fields])
         if self.spans:
             self.spans.tap(self.epoch, what, at_ms, fields)
+        if self.keeper:
+            self.held(what, fields)
+
+    def held(self, what: str, fields: dict[str, Any]) -> None:
+        """Remember which order each proxy acknowledged last."""
+        if what == "send":
+            self.orders_sent[fields["proxy"], fields["nonce"]] = fields["order"]
+            if len(self.orders_sent) > SENT_MOST:
+                self.orders_sent.clear()  # words that never come
+        elif what == "ack" and (order := self.orders_sent.pop((fields["proxy"], fields["nonce"]), 0)):
+            self.holds[fields["proxy"]] = order
+
+    def keep(self, keeper: Keeper, now: float) -> None:
+        """Hand the store what this turn brought: versions, pins, the order; once a while what proxies hold."""
+        wall_ms = time.time() * 1000.0
+        entries = [keeper.version(version, wall_ms) for version in self.core.versions]
+        self.core.versions.clear()
+        for key, kind, versions in self.core.granted:
+            for version in versions:
+                release = kind == "release"
+                entries.append(keeper.released(version.table) if release else keeper.pinned(version, wall_ms))
+            entries.append(keeper.done(key))
+        self.core.granted = []
+        number = self.core.tables.number
+        if number != self.kept_number:
+            entries += keeper.orders(number, wall_ms, self.core.orders or [])
+        if self.holds and now - self.holds_ms > HOLDS_MS:
+            self.holds_ms = now
+            entries += [keeper.hold(node, order, wall_ms) for node, order in self.holds.items()]
+            self.holds = {}
+        if entries or number != self.kept_number:
+            self.kept_number = number
+            keeper.hand_over(number, entries)
 
     def run(self) -> None:
         """Decide until `stop`; one round's failure is logged with its cause and ends the process."""
         offset_ms = self.now_ms() - time.time() * 1000.0
         self.server.start()
+        if self.keeper:
+            self.put(self.keeper.start_news())
+            threading.Thread(target=self.keeper.run, daemon=True).start()
         if self.reader:
             threading.Thread(target=self.reader.run, daemon=True).start()
         if self.decider.files:
@@ -126,7 +172,7 @@
             self.turn()
         self.say()
         self.server.stop()
-        for part in (self.reader, self.processes, self.decider.files):
+        for part in (self.reader, self.processes, self.decider.files, self.keeper):
             if part:
                 part.stop()
         self.socket_record.flush()
@@ -153,11 +199,14 @@
         if due <= now:
             self.late.record_value(max(1, min(LATE_MOST, round(10.0 * (now - due)))))
         self.decider.turn(now)
+        if self.keeper:
+            self.keep(self.keeper, now)
         if self.capture:
             full = [self.teller.number(peer) for peer in self.decider.streams.full]
             self.capture.put(["step", now, now, full])
             if self.core.rounds != rounds:
-                self.capture.put(["orders", now, now, self.core.rounds, self.core.orders])
+                number = self.core.tables.number
+                self.capture.put(["orders", now, now, self.core.rounds, self.core.orders, number])
             self.capture.flush()
         if self.spans and self.core.rounds != rounds:
             self.spans.round(self.epoch, self.core.tables.number, now, self.now_ms(), late_ms=max(0.0, now - due))
--- a/quillstep/proof/fuzz.py
+++ b/quillstep/proof/fuzz.py
@@ -6,6 +6,7 @@
 The tests drive the same targets with `hypothesis`; `atheris` follows the code's branches and stays out of CI.
 """
 
+import importlib
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -26,6 +27,7 @@
 from quillstep.xds.stream import StreamFault
 
 MESSAGE_MOST = 4096
+FOLLOWED = ("quillstep", "h2", "hpack", "hyperframe")  # packages whose branches a fuzzer follows
 ENCODER = Encoder(CLASSES, 0.8)
 
 
@@ -120,10 +122,13 @@
     """As libFuzzer's driver."""
     import atheris
 
-    target = TARGETS.get(sys.argv[1] if len(sys.argv) > 1 else "")
-    if target is None:
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name not in TARGETS:
         sys.exit(f"name one of {', '.join(TARGETS)}")
-    atheris.instrument_all()
+    for module in [each for each in sys.modules if each.partition(".")[0] in FOLLOWED]:
+        del sys.modules[module]  # they come again, with their branches counted
+    with atheris.instrument_imports(include=list(FOLLOWED)):
+        target = importlib.import_module("quillstep.proof.fuzz").TARGETS[name]
     atheris.Setup([sys.argv[0], *sys.argv[2:]], target)
     atheris.Fuzz()
 
--- a/quillstep/replay/faithful.py
+++ b/quillstep/replay/faithful.py
@@ -155,7 +155,8 @@
                 self.peer(number).is_full = number in full
             self.full = full
         self.decider.turn(now_ms)
-        self.core.probes, self.core.moves, self.core.asked = [], [], []
+        self.core.probes, self.core.moves, self.core.asked, self.core.granted = [], [], [], []
+        self.core.versions.clear()
         if self.decider.files:
             while not self.decider.files.jobs.empty():
                 job = self.decider.files.jobs.get()
--- a/quillstep/settings/__init__.py
+++ b/quillstep/settings/__init__.py
@@ -8,11 +8,13 @@
     EndpointKind,
     FilesRecord,
     FleetRecord,
+    GateRecord,
     LimitsRecord,
     PilotRecord,
     ProxyRecord,
     ReportsRecord,
     RulesRecord,
+    StoreRecord,
     TroubleRecord,
     changed,
     check_older,
@@ -23,6 +25,6 @@
 
 __all__ = [
     "ChannelRecord", "ClassRecord", "DayRecord", "EndpointKind", "Fault", "FilesRecord", "FleetRecord",
-    "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "ReportsRecord", "RulesRecord", "TroubleRecord", "changed",
-    "check_older", "load", "parse_changes", "read", "start_facts",
+    "GateRecord", "LimitsRecord", "Origin", "PilotRecord", "ProxyRecord", "ReportsRecord", "RulesRecord",
+    "StoreRecord", "TroubleRecord", "changed", "check_older", "load", "parse_changes", "read", "start_facts",
 ]  # fmt: skip
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -132,6 +132,28 @@
     sampling: bool = True  # under pressure not all proxies report in full
 
 
+class GateRecord(Record):
+    """What is checked before a table's version leaves: see docs/store.md."""
+
+    on: bool = True
+    moves_most: Share = 0.6  # of a table's traffic, moved within `moves_over_ms`; 0: any
+    moves_over_ms: Positive = 2000.0
+
+
+class StoreRecord(Record):
+    """What outlives a pilot's process; an empty folder: nothing does."""
+
+    folder: str = ""
+    size_most_bytes: Annotated[int, Field(ge=2**20)] = 2**30
+    fsync: bool = True
+    wait_most_ms: NotBelow0 = 250.0  # that a push waits to be durable before it leaves all the same
+    look_ms: Positive = 100.0  # between two looks at what operators ask for
+    remembered: Annotated[int, Field(ge=1)] = 128  # versions of a table that a start takes over from the last life
+    keep_versions: Annotated[int, Field(ge=1)] = 4096  # of a table
+    keep_hours: Positive = 168.0
+    keep_orders: Annotated[int, Field(ge=1)] = 20000  # of the journal
+
+
 class SpansRecord(Record):
     """Spans of rounds, pushes, applications and exchanges, as OTLP JSON lines; an empty file: none."""
 
@@ -176,6 +198,8 @@
     reports: ReportsRecord = ReportsRecord()
     capture: CaptureRecord = CaptureRecord()
     spans: SpansRecord = SpansRecord()
+    gate: GateRecord = GateRecord()
+    store: StoreRecord = StoreRecord()
     record: str = ""  # a file for what passed on this pilot's sockets
 
 
@@ -238,6 +262,8 @@
     files: FilesRecord = FilesRecord()
     capture: bool = False  # pilots capture what comes in, below the day's record
     record: bool = True  # pilots write down what passes on their sockets; without it nothing can be judged or traced
+    gate: GateRecord = GateRecord()
+    store: bool = False  # pilots keep a store below the day's record
     spans: Share = 0.0  # the part of rounds and exchanges that pilots and proxies write spans of
     pilots: Annotated[int, Field(ge=1)] = 2
     exchanges_per_s: Positive
--- /dev/null
+++ b/quillstep/tables/gate.py
@@ -0,0 +1,112 @@
+"""The gate: what of an order may leave now.  Without I/O and clocks; times are milliseconds.
+
+The module says what tables hold; the gate refuses and reports.  Drains and deaths pass always: they are withdrawals,
+which never come here, and lines of weight 0.  All else is checked against what stands: a line that names a gone
+endpoint, a cold one above its part, more of the traffic moved at a time than stated, levels and ways out of bounds, a
+table without a warm line.  What is refused waits, and is checked again with what is wanted then.
+"""
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+RATE_MOST = 1e7  # a level beyond this is no level
+WARM = 1.0
+COLD_SLACK = 2.0  # a cold line may have this many times its part of the mean, for slots are whole numbers
+GONE, COLD, MOVES, LEVEL, BARE = "gone", "cold", "moves", "level", "bare"
+
+
+class Held(NamedTuple):
+    """What was kept from leaving, and why; `endpoint` or `place` -1 where it is about neither."""
+
+    table: int
+    rule: str
+    reason: str
+    endpoint: int = -1
+    place: int = -1
+
+
+@dataclass(slots=True)
+class Seen:
+    """What is known of endpoints: listed as in service, and the part of its capacity that each surely has."""
+
+    ready: set[int] = field(default_factory=set)
+    part: dict[int, float] = field(default_factory=dict)  # of cold ones
+
+    def warm(self, endpoint: int) -> bool:
+        return endpoint in self.ready and self.part.get(endpoint, WARM) >= WARM
+
+
+class Gate:
+    """`moves_most`: the part of a table's traffic that may be moved within `over_ms`; 0: any.  `ways`: by class."""
+
+    def __init__(self, moves_most: float, over_ms: float, ways: list[int]) -> None:
+        self.moves_most, self.over_ms, self.ways = moves_most, over_ms, ways
+        self.moved: dict[int, deque[tuple[float, float]]] = {}  # when and how much, by table
+
+    def spent(self, table: int, now_ms: float) -> float:
+        """The part that has been moved of late."""
+        rows = self.moved.setdefault(table, deque())
+        while rows and rows[0][0] <= now_ms - self.over_ms:
+            rows.popleft()
+        return sum(part for _, part in rows)
+
+    def lines(
+        self, table: int, stands: Mapping[int, float], wanted: Mapping[int, float], seen: Seen, now_ms: float
+    ) -> tuple[dict[int, float], list[Held]]:
+        """Of the lines that are to change, those that may now, and what is kept.  The largest moves go first."""
+        passed: dict[int, float] = {}
+        held: list[Held] = []
+        total = sum(stands.values())
+        room = self.moves_most - self.spent(table, now_ms) if self.moves_most and total else math.inf
+        mean = total / len(stands) if stands else 0.0
+        used = 0.0
+        for endpoint, weight in sorted(wanted.items(), key=lambda row: -abs(row[1] - stands.get(row[0], 0.0))):
+            before = stands.get(endpoint, 0.0)
+            if weight == before:
+                continue
+            if weight < before:  # what takes away from a cold or gone one is never held; nor what is out altogether
+                urgent = weight <= 0.0 or not seen.warm(endpoint)
+            else:
+                urgent = False
+                if fault := self.fault(table, endpoint, weight, mean, seen):
+                    held.append(fault)
+                    continue
+            part = abs(weight - before) / total if total else 0.0
+            if not urgent and used + part > room:
+                text = f"{part:.2f} of the traffic to be moved, {max(0.0, room - used):.2f} left of {self.moves_most:g}"
+                held.append(Held(table, MOVES, text, endpoint))
+                continue
+            used += 0.0 if urgent else part
+            passed[endpoint] = weight
+        after = {**stands, **passed}
+        if any(seen.warm(e) and w > 0 for e, w in stands.items()) and not any(
+            seen.warm(e) and w > 0 for e, w in after.items()
+        ):
+            kept = {e for e in passed if seen.warm(e) and stands.get(e, 0.0) > 0}
+            passed = {e: w for e, w in passed.items() if e not in kept}
+            held.append(Held(table, BARE, f"the last {len(kept)} warm lines would go"))
+        if used:
+            self.moved[table].append((now_ms, used))
+        return passed, held
+
+    def fault(self, table: int, endpoint: int, weight: float, mean: float, seen: Seen) -> Held | None:
+        """Why a line may not come or grow, if it may not."""
+        if not math.isfinite(weight):
+            return Held(table, MOVES, f"a weight of {weight}", endpoint)
+        if endpoint not in seen.ready:
+            return Held(table, GONE, "it drains or is gone", endpoint)
+        part = seen.part.get(endpoint, WARM)
+        if part < WARM and mean and weight > max(1.0, COLD_SLACK * part * mean):
+            return Held(table, COLD, f"weight {weight:g}, {COLD_SLACK * part * mean:.1f} for a cold one", endpoint)
+        return None
+
+    def level(self, table: int, place: int, allowed: float, tries: int) -> Held | None:
+        """Why a level may not leave, if it may not."""
+        if not 0.0 <= allowed <= RATE_MOST:  # false for what is no number, too
+            return Held(table, LEVEL, f"a level of {allowed}", place=place)
+        if not 0 <= tries <= self.ways[place]:
+            return Held(table, LEVEL, f"way {tries} of trying again, {self.ways[place]} at most", place=place)
+        return None
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,651 @@
+"""Versions of tables: the gate, the book, the store on disk, kills at every write point, the way back on sockets."""
+
+import os
+import signal
+import threading
+import time
+
+import lmdb
+import msgspec
+import pytest
+from click.testing import CliRunner
+from fleet import MemoryPilot, pilot_record, small_day
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from quillstep.cli.main import cli
+from quillstep.day.plan import plan
+from quillstep.day.run import Arm
+from quillstep.rulecheck import judge
+from quillstep.settings import GateRecord, StoreRecord
+from quillstep.store import Store, StoreTrouble
+from quillstep.store.disk import META, set_aside
+from quillstep.store.format import (
+    PARTS,
+    SCHEMA,
+    Entry,
+    HoldRow,
+    PinRow,
+    VersionRow,
+    Wish,
+    number_key,
+    numbers_of,
+    pack,
+)
+from quillstep.store.keeper import Keeper, opened
+from quillstep.store.retain import Stood, to_drop
+from quillstep.tables.book import Version, version_of
+from quillstep.tables.content import LINE, OUT, content
+from quillstep.tables.gate import BARE, COLD, GONE, MOVES, Gate, Seen
+from quillstep.xds.resources import LEDS, name
+
+NAN = float("nan")
+
+
+def seen(ready=range(1, 11), **part):
+    return Seen(set(ready), {int(each[1:]): value for each, value in part.items()})
+
+
+TEN = dict.fromkeys(range(1, 11), 10.0)
+
+
+@pytest.mark.parametrize(
+    ("wanted", "known", "passed", "rules"),
+    [
+        ({1: 15.0}, seen(), {1: 15.0}, []),
+        ({1: 15.0}, seen(range(2, 11)), {}, [GONE]),  # it drains
+        ({11: 10.0}, seen(range(1, 12), e11=0.2), {}, [COLD]),
+        ({11: 3.0}, seen(range(1, 12), e11=0.2), {11: 3.0}, []),
+        ({11: 1.0}, seen(range(1, 12), e11=0.001), {11: 1.0}, []),  # one slot is the least there is
+        ({1: 0.0}, seen(), {1: 0.0}, []),  # what takes out is never held
+        ({1: 60.0, 2: 30.0}, seen(), {1: 60.0}, [MOVES]),  # 0.5 of the traffic, then 0.2 more of 0.6
+        ({1: 90.0}, seen(), {}, [MOVES]),
+        ({1: NAN}, seen(), {}, [MOVES]),
+        (dict.fromkeys(range(1, 11), 0.0), seen(), {}, [BARE]),
+        (dict.fromkeys(range(1, 10), 0.0), seen(), dict.fromkeys(range(1, 10), 0.0), []),
+        (dict.fromkeys(range(1, 11), 0.0), seen(()), dict.fromkeys(range(1, 11), 0.0), []),  # all have died
+        ({1: 5.0}, seen(e1=0.5), {1: 5.0}, []),  # a cold one's fall
+    ],
+)
+def test_the_gate_passes_what_may_leave_and_says_what_may_not(wanted, known, passed, rules):
+    found, held = Gate(0.6, 2000.0, [1]).lines(0, TEN, wanted, known, 0.0)
+    assert found == passed and [each.rule for each in held] == rules
+
+
+def test_the_traffic_moved_is_counted_over_time_and_falls_of_cold_ones_are_not():
+    gate, known = Gate(0.5, 1000.0, [1]), seen()
+    assert gate.lines(0, TEN, {1: 45.0}, known, 0.0)[0] == {1: 45.0}
+    assert gate.lines(0, TEN, {2: 45.0}, known, 500.0)[0] == {}
+    assert gate.lines(1, TEN, {2: 45.0}, known, 500.0)[0] == {2: 45.0}  # another table
+    assert gate.lines(0, TEN, {3: 0.0}, known, 600.0)[0] == {3: 0.0}
+    assert gate.lines(0, TEN, {2: 45.0}, known, 1001.0)[0] == {2: 45.0}
+
+
+@pytest.mark.parametrize(
+    ("allowed", "tries", "good"),
+    [
+        (5.0, 1, True), (1e6, 0, True), (-1.0, 1, False), (NAN, 1, False), (1e9, 1, False), (5.0, 2, False),
+        (5.0, -1, False),
+    ],  # fmt: skip
+)
+def test_levels_and_ways_stay_within_bounds(allowed, tries, good):
+    assert (Gate(0.6, 2000.0, [1]).level(0, 0, allowed, tries) is None) is good
+
+
+NUMBERS = st.integers(1, 12)
+
+
+@given(st.dictionaries(NUMBERS, st.floats(0.0, 100.0)), st.sets(NUMBERS), st.sets(NUMBERS))
+def test_whatever_is_wanted_no_table_loses_its_last_warm_line_nor_gains_a_gone_one(wanted, ready, cold):
+    known = Seen(ready, dict.fromkeys(cold, 0.3))
+    passed, _ = Gate(0.6, 2000.0, [1]).lines(0, TEN, wanted, known, 0.0)
+    after = {**TEN, **passed}
+    warm = [e for e in TEN if known.warm(e)]
+    assert not warm or any(after[e] > 0 for e in after if known.warm(e))
+    assert not [e for e, w in passed.items() if w > TEN.get(e, 0.0) and e not in ready]
+
+
+# the book, in a pilot
+
+
+def settled(proxies=2, **record):
+    pilot = MemoryPilot(record=pilot_record(**record))
+    for at in range(proxies):
+        pilot.join(f"p{at}", "ab"[at % 2])
+    return pilot.run(4000)
+
+
+def module_writes(pilot, lines):
+    """As the module would: into the book, in an order of its own."""
+    core = pilot.core
+    core.look(pilot.now)
+    core.tables.begin()
+    for endpoint, weight in lines.items():
+        core.book.line(0, endpoint, weight)
+    core.book.flush()
+    for push in core.tables.commit():
+        core.tables.release(push.proxy, push.number)
+
+
+def holds(pilot, proxy, lines):
+    """Whether a proxy has exactly these lines of table 0."""
+    tables = pilot.core.tables
+    wanted = {
+        name((LINE, 0, e)): content((LINE, 0, e), (*tables.addresses[e], w)).version for e, w in lines.items()
+    }
+    return {n: v for n, v in proxy.held(LEDS).items() if "/table-0/" in n} == wanted
+
+
+def stood(pilot):
+    return pilot.core.book.leaves[0].versions
+
+
+def test_a_pinned_table_goes_back_and_stays_while_the_module_writes_on():
+    pilot = settled()
+    before = stood(pilot)[-1]
+    for weight in (14.0, 18.0):
+        module_writes(pilot, {3: weight})
+        pilot.run(50)
+    pilot.core.book.pin(before._replace(cause="rollback", who="op"))
+    module_writes(pilot, {3: 22.0, 4: 13.0})
+    pilot.run(1500)
+    assert all(holds(pilot, proxy, before.lines) for proxy in pilot.proxies.values())
+    assert ("rollback", "op") in {(version.cause, version.who) for version in stood(pilot)}
+    pilot.core.book.release(0)
+    pilot.run(5000)
+    wanted = pilot.core.book.leaves[0].lines
+    assert all(holds(pilot, proxy, wanted) for proxy in pilot.proxies.values()) and not pilot.core.book.waits()
+
+
+def test_what_the_module_takes_out_of_a_pinned_table_is_out_at_once_and_stays_out_of_the_pin():
+    pilot = settled()
+    pilot.core.book.pin(stood(pilot)[-1])
+    pilot.roster("partial", [3], "terminating")
+    pilot.run(1500)
+    assert (OUT, 3) in pilot.core.tables.ledgers[0].held
+    assert 3 not in pilot.core.book.target(0)[0]
+    assert not any(line.endswith("table-0/3") for line in pilot.proxies["p0"].held(LEDS))
+
+
+def test_a_cold_endpoint_of_a_pinned_version_is_capped():
+    pilot = settled()
+    version = stood(pilot)[-1]
+    pilot.core.started[3] = pilot.now
+    pilot.core.book.pin(version)
+    pilot.core.look(pilot.now)
+    assert pilot.core.book.target(0)[0][3] <= 0.25 * version.lines[4] + 1.0
+
+
+def test_a_pin_without_a_warm_endpoint_left_gives_way_to_the_module():
+    pilot = settled()
+    version = stood(pilot)[-1]
+    pilot.core.book.pin(version._replace(lines={3: 10.0}))
+    pilot.roster("partial", [3], "terminated")
+    pilot.run(3000)
+    assert len(pilot.core.book.target(0)[0]) >= 4
+    assert any("/table-0/" in line for line in pilot.proxies["p0"].held(LEDS))
+
+
+@pytest.mark.parametrize("refusing", [False, True])
+def test_a_rollback_while_a_delta_is_in_flight_overtakes_it_though_some_refuse_it(refusing):
+    pilot = settled(3)
+    before = stood(pilot)[-1]
+    module_writes(pilot, {3: 18.0, 5: 14.0})
+    for proxy in pilot.proxies.values():
+        proxy.pump()
+    some = pilot.proxies["p1"]
+    some.refuses = refusing
+    pilot.core.book.pin(before._replace(cause="rollback"))
+    pilot.run(300, step=50.0)
+    some.refuses = False
+    pilot.run(4000, step=50.0)
+    assert all(holds(pilot, proxy, before.lines) for proxy in pilot.proxies.values())
+
+
+def test_of_two_rollbacks_that_cross_the_later_one_stands():
+    pilot = settled()
+    versions = []
+    for weight in (14.0, 18.0, 23.0):
+        module_writes(pilot, {3: weight})
+        pilot.run(100)
+        versions.append(stood(pilot)[-1])
+    pilot.core.book.pin(versions[0])
+    pilot.run(30, read=False)
+    pilot.core.book.pin(versions[1])
+    pilot.run(3000)
+    assert all(holds(pilot, proxy, versions[1].lines) for proxy in pilot.proxies.values())
+
+
+def test_what_the_gate_keeps_comes_later_a_part_at_a_time_and_is_told():
+    pilot = settled(gate=GateRecord(moves_most=0.3, moves_over_ms=1000.0))
+    module_writes(pilot, {1: 40.0, 2: 40.0, 3: 10.0})
+    lines = pilot.core.tables.tables[0].lines
+    assert lines[1] < 40.0 or lines[2] < 40.0
+    assert pilot.core.book.held and pilot.core.book.held[0].rule == MOVES
+
+
+def test_a_proxy_that_missed_many_deltas_gets_one_difference():
+    pilot = settled(gate=GateRecord(on=False))
+    proxy = pilot.proxies["p0"]
+    kept = {url: dict(row) for url, row in proxy.versions.items()}
+    proxy.leave()
+    for weight in range(11, 31):
+        module_writes(pilot, {3: float(weight), 4: float(weight % 7 + 8)})
+        pilot.run(20)
+    pilot.core.planner.round = lambda incoming, orders: None  # what it orders itself would come on top
+    again = pilot.join("p0", "a", kept)
+    pilot.core.tables.begin()
+    pilot.core.tables.bind(again.number, 0, [0, 1])
+    pilot.core.channel.put(pilot.core.tables.commit(), pilot.now)
+    pilot.run(3000)
+    lines = [names for url, names, _ in again.log if url == LEDS]
+    assert sum("/table-0/3" in each for names in lines for each in names) == 1
+    assert holds(pilot, again, pilot.core.tables.tables[0].lines)
+
+
+class ChosenVersion(RuleBasedStateMachine):
+    """Deltas, acknowledgements, refusals, rollbacks, releases, lost streams: all end on exactly what was chosen."""
+
+    def __init__(self):
+        super().__init__()
+        self.pilot = settled(2)
+        self.pilot.core.planner.round = lambda incoming, orders: None  # the module is silent: orders are ours
+        self.books()
+
+    def books(self):
+        self.weight = 10.0
+
+    @rule(endpoint=st.integers(1, 6), weight=st.sampled_from([8.0, 10.0, 12.0, 15.0]))
+    def module(self, endpoint, weight):
+        module_writes(self.pilot, {endpoint: weight})
+
+    @rule(back=st.integers(0, 4))
+    def rollback(self, back):
+        versions = stood(self.pilot)
+        self.pilot.core.book.pin(versions[max(0, len(versions) - 1 - back)]._replace(cause="rollback"))
+
+    @rule()
+    def release(self):
+        self.pilot.core.book.release(0)
+
+    @rule(ms=st.sampled_from([20.0, 200.0, 700.0]), read=st.booleans())
+    def wait(self, ms, read):
+        self.pilot.run(ms, read=read)
+
+    @rule(at=st.integers(0, 1), on=st.booleans())
+    def refuse(self, at, on):
+        self.pilot.proxies[f"p{at}"].refuses = on
+
+    @rule(at=st.integers(0, 1))
+    def redial(self, at):
+        proxy = self.pilot.proxies[f"p{at}"]
+        kept = {url: dict(row) for url, row in proxy.versions.items()}
+        proxy.leave()
+        self.pilot.join(f"p{at}", "ab"[at], kept)
+        core = self.pilot.core
+        core.tables.begin()
+        core.tables.bind(self.pilot.proxies[f"p{at}"].number, 0, [0, 1])
+        core.channel.put(core.tables.commit(), self.pilot.now)
+
+    @invariant()
+    def never_bare(self):
+        assert all(any("/table-0/" in n for n in proxy.held(LEDS)) for proxy in self.pilot.proxies.values())
+
+    def teardown(self):
+        refused = any(proxy.refuses for proxy in self.pilot.proxies.values())
+        for proxy in self.pilot.proxies.values():
+            proxy.refuses = False
+        if refused or any(ledger.refused for ledger in self.pilot.core.tables.ledgers.values()):
+            # A line that was refused alone waits for its next version: each is written once more.
+            book = self.pilot.core.book
+            lines = dict(book.target(0)[0])
+            for extra in (0.5, 0.0):
+                book.pin(Version("", 0, "", "pin", "", 0.0, 0, {e: w + extra for e, w in lines.items()}, {}))
+                self.pilot.run(12000.0, step=50.0)
+        self.pilot.run(12000.0, step=50.0)
+        wanted = self.pilot.core.book.target(0)[0]
+        for proxy in self.pilot.proxies.values():
+            assert holds(self.pilot, proxy, wanted)
+
+
+from hypothesis import settings as hypothesis_settings  # noqa: E402
+
+ChosenVersion.TestCase.settings = hypothesis_settings(
+    max_examples=12, stateful_step_count=15, deadline=None, derandomize=True
+)
+TestChosenVersion = ChosenVersion.TestCase
+
+
+# the store on disk
+
+
+def row(number, table=0, weight=10.0, wall_ms=1000.0):
+    lines, levels = [(1, weight)], [(0, 5.0, 1)]
+    return VersionRow(f"v{number}", table, f"v{number - 1}", "module", "", wall_ms, "e", number, lines, levels)
+
+
+def test_rows_come_back_as_they_were_and_numbers_go_on(tmp_path):
+    store = Store(tmp_path / "s")
+    entries = [Entry("versions", number_key(table, n), row(n, table)) for table in (0, 7) for n in range(1, 4)]
+    store.write([*entries, Entry("pins", number_key(7), PinRow(7, "v2", "op", 5.0, "rollback"))])
+    store.close()
+    again = Store(tmp_path / "s", write=False)
+    assert again.versions(7) == [row(n, 7) for n in range(1, 4)]
+    assert [again.last_number("versions", number_key(table)) for table in (0, 7, 9)] == [3, 3, 0]
+    assert again.rows("pins")[0][1].cause == "rollback" and again.check()["bad"] == []
+
+
+@pytest.mark.parametrize(
+    ("wall", "pinned", "count", "age", "dropped"),
+    [
+        ([1, 2, 3, 4], set(), 2, 1e9, [1, 2]),
+        ([1, 2, 3, 4], {"v1"}, 2, 1e9, [2, 3]),
+        ([0, 0, 90, 100], set(), 10, 50, [1, 2]),
+        ([0, 0, 0, 0], set(), 10, 50, [1, 2, 3]),  # the newest stays
+        ([900, 901, 902, 5], set(), 10, 50, []),  # a clock that went back makes nothing old
+    ],
+)
+def test_what_is_kept_goes_by_count_and_age_and_pins(wall, pinned, count, age, dropped):
+    rows = [Stood(at + 1, f"v{at + 1}", float(ms)) for at, ms in enumerate(wall)]
+    assert to_drop(rows, pinned, 100.0, count, age) == dropped
+
+
+def test_a_store_of_an_older_schema_is_brought_forward_in_one_commit(tmp_path):
+    store = Store(tmp_path / "s")
+    key = number_key(0, 1)
+    old = ["v1", 0, "", "module", "", 5.0, 3, [[1, 10.0]], [[0, 5.0, 1]]]
+    with store.env.begin(write=True) as txn:
+        txn.put(META, pack(META, 1), db=store.parts["meta"])
+        txn.put(key, pack(key, old), db=store.parts["versions"])
+        txn.put(number_key(0), pack(number_key(0), [0, "v1", "op", 5.0]), db=store.parts["pins"])
+    store.close()
+    again = Store(tmp_path / "s")
+    assert again.versions(0)[0].life == "" and again.versions(0)[0].order == 3
+    assert again.rows("pins")[0][1].cause == "pin" and again.rows("meta")[0][1] == SCHEMA
+
+
+def spoilt(folder):
+    """A byte changed in a value's page."""
+    data = bytearray((folder / "data.mdb").read_bytes())
+    at = data.find(b"rollback-here")
+    assert at > 0
+    data[at] ^= 0xFF
+    (folder / "data.mdb").write_bytes(data)
+
+
+def test_a_page_that_went_bad_is_found_and_the_store_set_aside_with_a_line(tmp_path):
+    folder = tmp_path / "s"
+    store = Store(folder)
+    store.write([Entry("pins", number_key(0), PinRow(0, "v1", "rollback-here", 5.0))])
+    store.close()
+    spoilt(folder)
+    assert "checksum" in Store(folder, write=False).check()["bad"][0]
+    record = StoreRecord(folder=str(folder))
+    fresh = opened(record)
+    assert fresh.rows("pins") == [] and len(list(tmp_path.glob("s.aside-*"))) == 1
+
+
+@pytest.mark.parametrize("kind", ["newer", "read-only", "full", "bad", "broken"])
+def test_a_store_that_can_not_be_used_says_why(tmp_path, kind):
+    folder = tmp_path / "s"
+    if kind == "newer":
+        Store(folder).write([Entry("meta", META, SCHEMA + 1)])
+    elif kind == "full":
+        Store(folder, 2**20).close()
+    elif kind == "read-only":
+        Store(folder).close()
+    elif kind == "bad":
+        folder.mkdir()
+        (folder / "data.mdb").write_bytes(b"nothing like it" * 1000)
+    else:
+        folder.write_text("a file where a folder should be")
+    with pytest.raises(StoreTrouble) as found:
+        store = Store(folder, 2**20, write=kind != "read-only")
+        store.write([Entry("journal", number_key(n), ["e", n, 0.0, ["x" * 2000]]) for n in range(2000)])
+    assert found.value.kind == kind
+
+
+def test_a_newer_store_is_refused_and_a_bad_one_is_not_mended_over(tmp_path):
+    Store(tmp_path / "s").write([Entry("meta", META, SCHEMA + 1)])
+    with pytest.raises(StoreTrouble, match=f"schema {SCHEMA + 1}"):
+        opened(StoreRecord(folder=str(tmp_path / "s")))
+    assert not list(tmp_path.glob("s.aside-*"))
+    assert set_aside(tmp_path / "s").exists() and not (tmp_path / "s").exists()
+
+
+def test_an_export_reads_back_as_the_same_store_and_a_torn_one_not_at_all(tmp_path):
+    run = CliRunner().invoke
+    store = Store(tmp_path / "a")
+    store.write([Entry("versions", number_key(0, n), row(n)) for n in range(1, 50)])
+    store.write([Entry("holds", b"p", HoldRow("p", "e", 3, 1.0))])
+    store.close()
+    assert run(cli, ["store", "export", str(tmp_path / "a"), str(tmp_path / "x")]).exit_code == 0
+    assert run(cli, ["store", "import", str(tmp_path / "b"), str(tmp_path / "x")]).exit_code == 0
+    assert run(cli, ["store", "compact", str(tmp_path / "a"), str(tmp_path / "d")]).exit_code == 0
+    assert run(cli, ["store", "check", str(tmp_path / "d")]).exit_code == 0
+    stores = [Store(tmp_path / each, write=False) for each in "abd"]
+    assert stores[2].versions(0) == stores[0].versions(0)
+    assert all(stores[0].rows(part) == stores[1].rows(part) for part in PARTS)
+    (tmp_path / "y").write_bytes((tmp_path / "x").read_bytes()[:-20])
+    assert run(cli, ["store", "import", str(tmp_path / "c"), str(tmp_path / "y")]).exit_code == 2
+
+
+# kills at every write point
+
+COMMITS, ROWS = 6, 5
+
+
+def child(folder, kill_at, told):
+    """Commits one after another; kills itself at one of its write points.  What is durable it says in the pipe."""
+    count = 0
+
+    def step(_):
+        nonlocal count
+        count += 1
+        if count == kill_at:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    store = Store(folder, step=step)
+    begin = store.last_number("versions", number_key(0))
+    for commit in range(begin + 1, begin + COMMITS + 1):
+        rows = [Entry("versions", number_key(0, commit), row(commit))]
+        rows += [Entry("holds", f"p{at}".encode(), HoldRow(f"p{at}", "e", commit, 0.0)) for at in range(ROWS - 2)]
+        store.write([*rows, Entry("pins", number_key(0), PinRow(0, f"v{commit}", "op", 0.0))])
+        os.write(told, bytes([commit % 256]))
+
+
+def test_a_pilot_killed_at_any_write_point_finds_all_of_a_commit_or_nothing(tmp_path):
+    """A few hundred kills in sequence on one store; each start goes on where the last commit stands."""
+    folder, kills, stood_before = tmp_path / "s", 0, 0
+    points = COMMITS * (ROWS + 3)
+    for kill_at in [*range(1, points + 1), *range(points, 0, -1), *range(1, points + 1, 2), *range(2, points + 1, 3)]:
+        read, write = os.pipe()
+        pid = os.fork()
+        if pid == 0:
+            try:
+                child(folder, kill_at, write)
+            finally:
+                os._exit(0)
+        os.close(write)
+        os.waitpid(pid, 0)
+        told = os.read(read, 256)
+        os.close(read)
+        kills += 1
+        store = Store(folder)
+        last = store.last_number("versions", number_key(0))
+        assert stood_before <= last <= stood_before + COMMITS
+        if told:
+            assert (last - told[-1]) % 256 in (0, 1), "what was said to be durable is there, and at most one more"
+        if last:
+            assert store.rows("pins")[0][1].name == f"v{last}"
+            assert {hold.order for _, hold in store.rows("holds")} == {last}
+            assert [numbers_of(key)[1] for key, _ in store.rows("versions")] == list(range(1, last + 1))
+        store.close()
+        stood_before = last
+    assert kills > 100 and stood_before > 100
+
+
+# the pilot's thread
+
+
+def test_the_keeper_tells_what_is_durable_and_hands_over_a_wish_once(tmp_path):
+    record = StoreRecord(folder=str(tmp_path / "s"), look_ms=5.0)
+    news, woken = [], threading.Event()
+
+    def put(each):
+        news.append(each)
+        if each[1] == "wish":
+            woken.set()
+
+    keeper = Keeper(record, opened(record), "e", put)
+    thread = threading.Thread(target=keeper.run)
+    thread.start()
+    version = Version("v1", 0, "", "module", "", 0.0, 1, {1: 10.0}, {0: (5.0, 1)})
+    pin = keeper.pinned(version._replace(cause="rollback", who="op"), 7.0)
+    keeper.hand_over(1, [keeper.version(version, 7.0), pin])
+    keeper.store.write([Entry("wishes", number_key(9), Wish("rollback", [(0, "v1")], "op", 7.0))])
+    assert woken.wait(20.0)
+    keeper.hand_over(2, [keeper.done(number_key(9).hex())])
+    keeper.stop()
+    thread.join(20.0)
+    assert ("store", "stored", 1, []) in news and ("store", "stored", 2, []) in news
+    (wish,) = [each for each in news if each[1] == "wish"]
+    assert version_of(wish[3][1][0][1]).lines == {1: 10.0}
+    fresh = Keeper(record, opened(record), "f", put)
+    assert fresh.store.rows("wishes") == [] and fresh.store.rows("lives")[0][1].ended_ms > 0
+    kind, what, versions, pins = fresh.start_news()
+    assert (kind, what, len(versions)) == ("store", "opened", 1) and pins[0][1:] == ["rollback", "op"]
+
+
+def test_a_store_that_fills_up_is_left_and_the_pilot_goes_on(tmp_path):
+    record = StoreRecord(folder=str(tmp_path / "s"), size_most_bytes=2**20, look_ms=5.0)
+    news = []
+    keeper = Keeper(record, opened(record), "e", news.append)
+    for at in range(200):
+        keeper.hand_over(at, [Entry("journal", number_key(at + 1), ["e", at, 0.0, ["x" * 20000]])])
+    keeper.run()
+    assert news[-1][1] == "lost" and "full" in keeper.failed or "no room" in keeper.failed
+
+
+def test_a_push_waits_to_be_durable_a_drain_and_a_late_disk_do_not():
+    pilot = MemoryPilot(record=pilot_record(store=StoreRecord(folder="x", wait_most_ms=500.0)))
+    proxy, core = pilot.join("p0"), pilot.core
+    core.from_store("stored", 10**9, [])
+    pilot.run(4000)
+    core.durable = core.tables.number
+    module_wrote = core.tables.number
+    core.look(pilot.now)
+    core.tables.begin()
+    core.book.line(0, 3, 14.0)
+    core.book.flush()
+    core.channel.put(core.tables.commit(), pilot.now)
+    number = core.tables.number
+    pilot.run(100)
+    assert core.tables.ledgers[0].released <= module_wrote
+    core.from_store("stored", number, [])
+    pilot.run(20)
+    assert core.tables.ledgers[0].released >= number
+    core.durable = 0.0
+    pilot.roster("partial", [4], "terminating")
+    pilot.run(200)
+    assert any("withdrawn/4" in each for each in proxy.held(LEDS))
+    core.from_store("lost", "no disk", [])
+    assert core.durable == float("inf")
+
+
+# on sockets
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory):
+    """A day with stores and all three kinds of proxies; the pilots still run when it is over."""
+    day = small_day(seconds=5.0, proxies=6, pilots=1, store=True, sotw_proxies=0.2, file_proxies=0.2)
+    arm = Arm(day, plan(day), "learnt", tmp_path_factory.mktemp("store") / "learnt")
+    try:
+        arm.start()
+        arm.play(time.monotonic() * 1000.0 + day.warm_up_s * 1000.0)
+        yield arm
+    finally:
+        arm.stop()
+
+
+def said(arm, *arguments):
+    done = CliRunner().invoke(cli, ["tables", arguments[0], str(arm.folder / "pilot-0.cue"), *arguments[1:]])
+    assert done.exit_code == 0, done.output
+    return msgspec.json.decode(done.stdout.splitlines()[-1])
+
+
+def lines_held(arm):
+    """Each delta proxy's lines of table 0, by what it wrote down."""
+    found = {}
+    for each in arm.evidence().applied:
+        if each["type"] == "LbEndpoint":
+            held = found.setdefault(each["proxy"], {})
+            held.update({n: v for n, v in each["changed"] if "/table-0/" in n})
+            for gone in each["removed"]:
+                held.pop(gone, None)
+    return found
+
+
+def until(there, seconds=30.0):
+    """Look again until it is so."""
+    end = time.monotonic() + seconds
+    while not there():
+        assert time.monotonic() < end, "in vain"
+        time.sleep(0.05)
+
+
+def test_every_proxy_ends_on_the_version_that_was_chosen_also_after_the_pilot_is_killed(played):
+    log = said(played, "log", "--table", "0", "--limit", "500")["versions"]
+    assert len(log) >= 1 and log[0]["cause"] == "module"
+    chosen = said(played, "show", "0", "~0")
+    weights = {endpoint: weight + 3.0 * (at % 2) for at, (endpoint, weight) in enumerate(chosen["lines"])}
+    store = Store(played.folder / "store-0")
+    number = store.last_number("versions", number_key(0)) + 1000
+    other = VersionRow("feed0001", 0, "", "module", "", 0.0, "hand", 0, sorted(weights.items()), chosen["levels"])
+    store.write([Entry("versions", number_key(0, number), other)])
+    store.close()
+    assert said(played, "rollback", "--table", "0", "--version", "feed0001")["taken"]
+    wanted = {}
+    for endpoint, weight in weights.items():
+        key = (LINE, 0, endpoint)
+        wanted[name(key)] = content(key, ("127.0.0.1", played.ports[endpoint], weight)).version
+    until(lambda: len(lines_held(played)) == 4 and all(held == wanted for held in lines_held(played).values()))
+    played.pilots[0].kill()
+    played.start_pilot(0)
+    mark = len(played.evidence().applied)
+    until(lambda: sum(r["what"] == "join" for r in played.evidence().sent) >= 10)
+    assert [str(each) for each in said(played, "log")["pins"][0]] == ["0", "feed0001"]
+    assert said(played, "release", "--all")["taken"]
+    until(lambda: any(held != wanted for held in lines_held(played).values()))
+    assert len(played.evidence().applied) > mark and judge(played.evidence()) == []
+    assert said(played, "diff", "0", "feed0001", "~0")["from"] == "feed0001"
+
+
+@pytest.mark.parametrize(
+    ("arguments", "text"),
+    [
+        (["rollback", "--table", "0", "--version", "nosuch"], "0 versions begin with 'nosuch', expected one"),
+        (["rollback", "--table", "9"], "the store knows no version of it"),
+        (["show", "0", "~99999"], "versions are known"),
+        (["rollback", "--table", "0", "--at", "yesterday"], "expected a time"),
+        (["pin", "--zone", "nowhere"], "expected one of a, b"),
+    ],
+)
+def test_a_version_or_table_that_never_was_is_refused_by_name(played, arguments, text):
+    done = CliRunner().invoke(cli, ["tables", arguments[0], str(played.folder / "pilot-0.cue"), *arguments[1:]])
+    assert done.exit_code == 2 and text in done.stderr
+
+
+def test_settings_without_a_store_and_a_store_of_a_newer_version_are_told(tmp_path):
+    assert lmdb.version()
+    path = tmp_path / "p.cue"
+    record = pilot_record(store=StoreRecord(folder=str(tmp_path / "s")))
+    path.write_bytes(msgspec.json.encode(record.model_dump()))
+    Store(tmp_path / "s").write([Entry("meta", META, SCHEMA + 1)])
+    done = CliRunner().invoke(cli, ["pilot", "--settings", str(path)])
+    assert done.exit_code == 2 and "knows" in done.stderr
+    path.write_bytes(msgspec.json.encode(pilot_record().model_dump()))
+    done = CliRunner().invoke(cli, ["tables", "log", str(path)])
+    assert done.exit_code == 2 and "store.folder" in done.stderr
