--- a/quillstep/store/keeper.py
+++ b/quillstep/store/keeper.py
@@ -68,6 +68,9 @@
         pinned = [
             [told(names[pin.table, pin.name]), pin.cause, pin.who] for pin in pins if (pin.table, pin.name) in names
         ]
+        for pin in pins:
+            if (pin.table, pin.name) not in names:
+                self.log.error("pin passed over", table=pin.table, version=pin.name, reason="its version is not kept")
         return ("store", "opened", [time.time() * 1000.0, [told(row) for row in versions]], pinned)
 
     def version(self, version: Version, wall_ms: float) -> Entry:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -540,6 +540,14 @@
     assert (kind, what, len(versions[1])) == ("store", "opened", 1) and pins[0][1:] == ["rollback", "op"]
 
 
+def test_a_pin_whose_version_is_gone_is_passed_over_with_a_line(tmp_path, capsys):
+    record = StoreRecord(folder=str(tmp_path / "s"))
+    store = opened(record)
+    store.write([Entry("pins", number_key(0), PinRow(0, "gone", "op", 5.0))])
+    assert Keeper(record, store, "e", print).start_news()[3] == []
+    assert "pin passed over" in "".join(capsys.readouterr())
+
+
 def test_a_store_that_fills_up_is_left_and_the_pilot_goes_on(tmp_path):
     record = StoreRecord(folder=str(tmp_path / "s"), size_most_bytes=2**20, look_ms=5.0)
     news = []
