Mend what a second reading found in versions and book: work done twice, dead results

Need: a reread of the change found routes hashed anew at each look at a proxy though their ways were known, copies of a table made for a result that nobody read, a search that nobody called, and one test of urgency and one round trip written three times.

Change: routes are looked at only where a proxy's ways are unknown; catch_up returns nothing and copies nothing; Book.find is gone; Change.urgent and Pace.trip_ms serve all. Behaviour is as it was.

--- a/quillstep/tables/book.py
+++ b/quillstep/tables/book.py
@@ -158,8 +158,7 @@
         """These changes stand from now on, but for what the gate keeps."""
         leaf = self.leaf(table)
         record = self.tables.tables.get(table)
-        gated = self.gate and record and record.users
-        if gated and self.gate and record:
+        if self.gate and record and record.users:
             lines, held = self.gate.lines(table, record.lines, lines, self.seen, self.now_ms)
             for place, (allowed, tries) in list(levels.items()):
                 if fault := self.gate.level(table, place, allowed, tries):
@@ -203,11 +202,6 @@
         for table, version in newest.items() if span_ms > 0.0 else ():
             self.leaf(table).former = Former(version.lines, self.now_ms - age_ms, self.now_ms + span_ms)
 
-    def find(self, table: int, name: str) -> Version | None:
-        """A version by its name or the beginning of one; None: none, or several."""
-        found = {v.name: v for v in self.leaf(table).versions if v.name.startswith(name)}
-        return next(iter(found.values())) if len(found) == 1 else None
-
     def pin(self, version: Version) -> None:
         """This table is to stay as in this version until it is released; in flight changes are overtaken."""
         leaf = self.leaf(version.table)
@@ -239,12 +233,11 @@
         # Levels follow the load: a pin is about where exchanges go, and an old level may let in what now overloads.
         return lines, leaf.levels
 
-    def catch_up(self, room_lines: float) -> bool:
-        """Move every table that waits towards its target, as much as the channel has room for; True if anything moved.
+    def catch_up(self, room_lines: float) -> None:
+        """Move every table that waits towards its target, as much as the channel has room for.
 
         Belongs between `begin` and `commit` of an order of its own.
         """
-        moved = False
         for table, leaf in self.leaves.items():
             record = self.tables.tables.get(table)
             if not leaf.waits or record is None:
@@ -259,7 +252,6 @@
             else:
                 level_changes = {}
             first = dict(list(changes.items())[:fit])
-            before = (dict(record.lines), dict(record.levels))
             if first or level_changes:
                 cause, who = (leaf.pin.cause, leaf.pin.who) if leaf.pin else ("release", "")
                 self.stand(table, first, level_changes, cause, who)
@@ -267,8 +259,6 @@
             leaf.waits = bool(self.differences(record.lines, lines)) or any(
                 record.levels.get(place) != level for place, level in levels.items()
             )
-            moved |= before != (record.lines, record.levels)
-        return moved
 
     @staticmethod
     def differences(stands: Lines, wanted: Lines) -> Lines:
--- a/quillstep/tables/ledger.py
+++ b/quillstep/tables/ledger.py
@@ -27,6 +27,11 @@
     key: Key
     content: Content | None
 
+    @property
+    def urgent(self) -> bool:
+        """Whether it waits for nobody: an endpoint to keep out."""
+        return self.key[0] == OUT and self.content is not None
+
 
 class Refusal(NamedTuple):
     """What a proxy refused and why; `alone` if it was the only change, so that it is set apart: lines until they
@@ -130,8 +135,9 @@
                 continue
             want = desired(key)
             if self.differs(key, want):
-                if room > KEPT_FREE or (key[0] == OUT and want):
-                    found.append(Change(key, want))
+                change = Change(key, want)
+                if room > KEPT_FREE or change.urgent:
+                    found.append(change)
             else:
                 settled.append(key)  # it holds this, or it is under way, or it was refused
         for key in settled:
@@ -327,7 +333,7 @@
         if most is None or (len(changes) <= most and now_ms >= self.pace.next_ms):
             return changes
         if now_ms < self.pace.next_ms or any(flight.lane for flight in self.flights.values()):
-            return [change for change in changes if change.key[0] == OUT and change.content]
+            return [change for change in changes if change.urgent]
         return changes[:most]
 
     def look_ms(self, now_ms: float) -> float | None:
--- a/quillstep/tables/pace.py
+++ b/quillstep/tables/pace.py
@@ -65,9 +65,13 @@
             self.small.append(took)
         elif lines >= LARGE:
             self.large.append((lines, took))
-            self.last_line_ms = max(0.0, took - min(self.small, default=0.0)) / lines
+            self.last_line_ms = max(0.0, took - self.trip_ms()) / lines
         self.next_ms = now_ms + REST * self.stands_ms(lines)
 
+    def trip_ms(self) -> float:
+        """What an answer takes that costs nothing to apply."""
+        return min(self.small, default=0.0)
+
     def line_ms(self) -> float | None:
         """What a line makes it stand still for; None: nothing is known.
 
@@ -75,7 +79,7 @@
         """
         if len(self.large) < BELIEVED:
             return self.usual_line_ms
-        trip = min(self.small, default=0.0)
+        trip = self.trip_ms()
         return min(max(0.0, took - trip) / lines for lines, took in self.large)
 
     def stands_ms(self, lines: int) -> float:
@@ -94,8 +98,7 @@
 
     def late_ms(self, lines: int) -> float:
         """From when on a response of so many lines is late: the settings' figure, or what it surely takes."""
-        trip = min(self.small, default=0.0)
-        return max(self.late_most_ms, 2.0 * (trip + lines * (self.line_ms() or 0.0)))
+        return max(self.late_most_ms, 2.0 * (self.trip_ms() + lines * (self.line_ms() or 0.0)))
 
     def judge(self, nonce: str, lines: int, sent_ms: float, now_ms: float, heard_ms: float | None) -> Verdict:
         """A response without a word.  `heard_ms`: when anything at all last came from this peer, if that is known.
--- a/quillstep/tables/ways.py
+++ b/quillstep/tables/ways.py
@@ -64,10 +64,15 @@
         self.held[proxy] = held
         self.moved = True
 
+    def unknown(self, proxy: int) -> bool:
+        """Whether it came with routes that are not known yet."""
+        held = self.held.get(proxy)
+        return held is not None and not held.known
+
     def holds(self, proxy: int, ways: Mapping[int, int], now_ms: float) -> None:
         """What it came with has turned out to be these."""
-        held = self.held.get(proxy)
-        if held and not held.known:
+        if self.unknown(proxy):
+            held = self.held[proxy]
             held.flights[""] = dict(ways)
             self.acknowledge(proxy, "", now_ms)
 
--- a/quillstep/tables/world.py
+++ b/quillstep/tables/world.py
@@ -238,7 +238,7 @@
         found = ledger.take(now_ms, wants, lambda key: self.desired(ledger, key), together)
         if self.cold and found:
             found = self.without_full(ledger, found, now_ms)
-        if ledger.bound and ledger.held.get((ROUTES,)) and (ROUTES,) not in ledger.dirty:
+        if self.ways.unknown(proxy) and ledger.bound and (ROUTES,) in ledger.held and (ROUTES,) not in ledger.dirty:
             routes = self.routes(ledger)
             if routes and routes.version == ledger.held[(ROUTES,)]:
                 self.ways.holds(proxy, ways_of(routes), now_ms)
--- a/quillstep/xds/delta.py
+++ b/quillstep/xds/delta.py
@@ -137,7 +137,7 @@
             apart = bool(ledger.apart)  # parts of what was refused are small, and go by themselves
             changes = self.tables.take(self.proxy, now_ms, self.wants)
             if not apart:
-                changes = [c for c in changes if urgent(c)] if behind else ledger.piece(changes, now_ms)
+                changes = [change for change in changes if change.urgent] if behind else ledger.piece(changes, now_ms)
             if not changes:
                 break
             for url, group in grouped(changes):
@@ -161,11 +161,6 @@
         return Response(message, number, url, nonce, len(body), len(removed))
 
 
-def urgent(change: Change) -> bool:
-    """Whether a change waits for nobody: an endpoint to keep out."""
-    return change.key[0] == OUT and change.content is not None
-
-
 def grouped(changes: list[Change]) -> list[tuple[str, list[Change]]]:
     """Runs of one type, so that what must go first does; lines and withdrawals share a type and a response.
 
