--- /dev/null
+++ b/quillstep/frames/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: JSON objects in frames; streams of proxies, collectors, strangers, orders."""
--- /dev/null
+++ b/quillstep/frames/front.py
@@ -0,0 +1,147 @@
+"""Who connects: proxies by their streams, collectors, strangers.  All of it runs in the poller's thread.
+
+Not joined, a connection may ask for a sign of life and join, nothing else; joined, it is read whatever comes, and
+what is spoilt is dropped and counted.  News for the deciding thread never waits (`Lanes.bring`):
+("join", peer, proxy, zone, usual, fresh), ("leave", peer, proxy), ("receipt", peer, proxy, serial),
+("sums", row), ("arrivals", row).
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import structlog
+
+from quillstep.frames import check
+from quillstep.frames.check import Known, Spoilt
+from quillstep.frames.codec import FrameCodec, encode, framed
+from quillstep.net.poller import Event, Poller, Served, now_ms
+
+ALIVE = framed(encode({"t": "hb_ok"}))
+STRANGER_MOST = 4096  # bytes of a message before joining
+COLLECTORS = 2  # of one zone: the one that comes and the one that has not been seen to go
+TOLD_MS = 2000.0  # between two lines of the log on what was dropped for the same reason
+
+
+class FrameLimits(NamedTuple):
+    """What one connection may cost; see `net.poller.Limits`."""
+
+    connections_most: int
+    strangers_most: int
+    unsent_most_bytes: int = 128 * 1024
+    messages_per_s: float = 20000.0  # one that brings more for long is read no further; the flood is its own loss
+    handshake_ms: float = 1000.0
+    write_ms: float = 15000.0
+    silent_ms: float = float("inf")  # nobody is bound to speak
+    ping_ms: float = float("inf")
+
+
+class FrameFront:
+    """The listener and all that it accepted.  `bring(news, key, add)` hands over."""
+
+    def __init__(
+        self, listen: str, limits: FrameLimits, known: Known, bring: Callable[..., None]
+    ) -> None:
+        self.known, self.bring = known, bring
+        self.poller = Poller(
+            listen, limits, lambda: FrameCodec(STRANGER_MOST), self.event, self.closed, silent_ms=limits.silent_ms
+        )
+        self.proxies: dict[Served, int] = {}
+        self.collectors: dict[Served, str] = {}
+        self.dropped: Counter[str] = Counter()  # messages, by reason
+        self.ended: Counter[str] = Counter()  # connections that never joined, by reason
+        self.told_ms: dict[str, float] = {}
+        self.log = structlog.get_logger("frames")
+
+    def event(self, peer: Served, event: Event) -> None:
+        if peer.stopping:
+            return
+        kind, what = event
+        if kind == "broken":
+            peer.stop(what)
+            return
+        name = what.get("t")
+        if name == "hb":
+            peer.send(0, ALIVE)
+            return
+        try:
+            if peer.started:
+                self.report(peer, name, what)
+            else:
+                self.start(peer, name, what)
+        except Spoilt as trouble:
+            if peer.started:
+                self.drop(f"{name if name in REPORTS else 'message'}: {trouble}")
+            else:
+                peer.stop(str(trouble))
+
+    def start(self, peer: Served, name: Any, fields: dict[str, Any]) -> None:
+        if name == "attach":
+            proxy, zone, usual, fresh = check.joining(fields, self.known)
+            self.proxies[peer] = proxy
+            self.bring(("join", peer, proxy, zone, usual, fresh))
+        elif name == "telemetry":
+            zone = check.zone(fields, self.known)
+            same = [other for other, its in self.collectors.items() if its == zone]
+            if len(same) >= COLLECTORS:
+                same[0].stop("its zone has newer collectors")
+            self.collectors[peer] = zone
+        else:
+            raise Spoilt("it began without joining")
+        peer.codec.started = True
+
+    def report(self, peer: Served, name: Any, fields: dict[str, Any]) -> None:
+        if name not in REPORTS:
+            raise Spoilt("its kind is none that a pilot is sent here")
+        REPORTS[name](self, peer, fields)
+
+    def sums(self, peer: Served, fields: dict[str, Any]) -> None:
+        zone, row = check.sums(fields, self.known)
+        self.bring(("sums", row), (zone, row[0]), add_sums)
+
+    def usage(self, peer: Served, fields: dict[str, Any]) -> None:
+        row = check.usage(fields, self.known)
+        if self.proxies.get(peer, row[1]) != row[1]:
+            raise Spoilt("it is of another proxy")
+        self.bring(("arrivals", row), row[:2], add_arrivals)
+
+    def receipt(self, peer: Served, fields: dict[str, Any]) -> None:
+        proxy, serial = check.receipt(fields, self.known)
+        if self.proxies.get(peer) != proxy:
+            raise Spoilt("it is of another proxy")
+        self.bring(("receipt", peer, proxy, serial))
+
+    def drop(self, reason: str) -> None:
+        """Count a message that is of no use; say so once in a while."""
+        self.dropped[reason] += 1
+        if now_ms() - self.told_ms.get(reason, float("-inf")) > TOLD_MS:
+            self.told_ms[reason] = now_ms()
+            self.log.warning("message dropped", reason=reason, so_far=self.dropped[reason])
+
+    def closed(self, peer: Served, reason: str) -> None:
+        proxy = self.proxies.pop(peer, None)
+        if proxy is not None:
+            self.log.info("proxy left", proxy=proxy, reason=reason)
+            self.bring(("leave", peer, proxy))
+        elif self.collectors.pop(peer, None) is None:
+            self.ended[reason] += 1
+
+
+REPORTS: dict[Any, Callable[[FrameFront, Served, dict[str, Any]], None]] = {
+    "upstream_stats": FrameFront.sums,
+    "client_stats": FrameFront.usage,
+    "done": FrameFront.receipt,
+}
+
+
+def add_sums(old: tuple, new: tuple) -> tuple:
+    """Two entries of the lane with sums of one zone and endpoint as one; the newer load report stands."""
+    (at_ms, (_, a)), (_, (_, b)) = old, new
+    good = a[1] - a[2] + b[1] - b[2]
+    mean_ms = (a[3] * (a[1] - a[2]) + b[3] * (b[1] - b[2])) / good if good else 0.0
+    return at_ms, ("sums", (a[0], a[1] + b[1], a[2] + b[2], mean_ms, a[4] + b[4], {**a[5], **b[5]}))
+
+
+def add_arrivals(old: tuple, new: tuple) -> tuple:
+    (at_ms, (_, a)), (_, (_, b)) = old, new
+    return at_ms, ("arrivals", (a[0], a[1], a[2] + b[2], a[3] + b[3], a[4] + b[4]))
--- /dev/null
+++ b/quillstep/frames/orders.py
@@ -0,0 +1,184 @@
+"""Orders of the module as messages of the platform.  Without I/O.
+
+Keeps what an instance keeps in the simulator: tables, who is bound to them, levels, withdrawals.  One round's orders
+become one message for each proxy that they concern, in as many parts as they need; who is not concerned gets none.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from quillstep.frames.codec import encode, framed
+
+ALL = 65535  # the table whose levels hold for all joined proxies
+PARTS_MOST = 64
+Users = tuple[tuple[int, tuple[int, ...]], ...]  # tables and the classes they are used for
+
+
+class Joined:
+    """What a proxy has been told on its stream."""
+
+    __slots__ = ("marks", "out", "users")
+
+    def __init__(self) -> None:
+        self.users: Users = ()
+        self.out: frozenset[str] = frozenset()
+        self.marks: set[int] = set()
+
+
+class FrameOrders:
+    """The `Orders` of the interface for one pilot; `flush` gives what a round's orders come to.
+
+    `probe`, `wake` and `note` go elsewhere: these are passed in.
+    """
+
+    def __init__(
+        self,
+        classes: list[str],
+        probe: Callable[[str], None],
+        wake: Callable[[int, float], None],
+        note: Callable[[str], None],
+    ) -> None:
+        self.classes, self.probe, self.wake, self.note = classes, probe, wake, note
+        self.tables: dict[int, dict[str, float]] = {}
+        self.levels: dict[int, dict[int, tuple[float, int]]] = {}
+        self.withdrawn: set[str] = set()
+        self.proxies: dict[int, Joined] = {}
+        self.begin()
+
+    def begin(self) -> None:
+        self.moved: dict[int, dict[str, float]] = {}  # lines of this round, by table
+        self.turned: dict[int, set[int]] = {}  # classes whose level was set, by table
+        self.bound: dict[int, set[int]] = {}  # classes that were bound anew, by proxy
+        self.toggled: dict[str, bool] = {}
+        self.serial: int | None = None
+
+    def join(self, proxy: int) -> None:
+        self.proxies[proxy] = Joined()
+
+    def leave(self, proxy: int) -> None:
+        self.proxies.pop(proxy, None)
+
+    def answered(self, proxy: int, serial: int) -> bool:
+        """A mark has come back; False where this proxy was not asked for it."""
+        known = self.proxies.get(proxy)
+        if known is None or serial not in known.marks:
+            return False
+        known.marks.discard(serial)
+        return True
+
+    # orders
+
+    def line(self, table: int, endpoint: str, weight: float) -> None:
+        lines = self.tables.setdefault(table, {})
+        if weight:
+            lines[endpoint] = weight
+        else:
+            lines.pop(endpoint, None)
+        self.moved.setdefault(table, {})[endpoint] = weight
+
+    def withdraw(self, endpoint: str, out: bool) -> None:
+        (self.withdrawn.add if out else self.withdrawn.discard)(endpoint)
+        self.toggled[endpoint] = out
+
+    def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
+        if proxy not in self.proxies:
+            return
+        places = set(classes) or set(range(len(self.classes)))
+        known = self.proxies[proxy]
+        users = {each: set(its) - places for each, its in known.users}
+        users.setdefault(table, set()).update(places)
+        known.users = tuple((each, tuple(sorted(its))) for each, its in sorted(users.items()) if its)
+        self.bound.setdefault(proxy, set()).update(places)
+        self.tables.setdefault(table, {})
+
+    def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
+        for place in set(classes) or range(len(self.classes)):
+            self.levels.setdefault(table, {})[place] = (allowed, tries)
+            self.turned.setdefault(table, set()).add(place)
+
+    def receipt(self, serial: int) -> None:
+        self.serial = serial
+
+    def watch_list(self) -> None:
+        """Nothing to do: the watch is dialled anew by itself, and brings what was missed."""
+
+    # messages
+
+    def flush(self) -> list[tuple[int, bytes]]:
+        """The messages of this round by proxy; begins anew."""
+        made: dict[Any, bytes] = {}
+        messages = []
+        for proxy, known in self.proxies.items():
+            bound = frozenset(self.bound.get(proxy, ()))
+            out = self.out(known, bool(bound))
+            key = (known.users, bound, out - known.out, known.out - out)
+            if key not in made:
+                made[key] = self.message(*key)
+            known.out = out
+            if made[key]:
+                messages.append((proxy, made[key]))
+                if self.serial is not None:
+                    known.marks.add(self.serial)
+        self.begin()
+        return messages
+
+    def out(self, known: Joined, bound: bool) -> frozenset[str]:
+        """What a proxy is to shut out after this round, of what its tables name; what is unknown may be there."""
+        if not (bound or self.toggled or self.moved):
+            return known.out
+        named = {endpoint for table, _ in known.users for endpoint in self.tables[table]}
+        told = known.out & self.withdrawn  # once told it stands until it is let back
+        if sum(len(places) for _, places in known.users) < len(self.classes):
+            told |= {endpoint for endpoint, out in self.toggled.items() if out}
+        return frozenset(told | (named & self.withdrawn))
+
+    def message(
+        self, users: Users, bound: frozenset[int], shut: frozenset[str], back: frozenset[str]
+    ) -> bytes:
+        """What this round says to proxies that use these tables; nothing: no bytes."""
+        parts = list(self.parts(users, bound))
+        if shut or back:
+            if not parts:
+                parts.append({})
+            if shut:
+                parts[0]["eject"] = sorted(shut)
+            if back:
+                parts[0]["restore"] = sorted(back)
+        if not parts:
+            return b""
+        if self.serial is not None:
+            parts[-1]["nonce_out"] = self.serial
+        assert len(parts) <= PARTS_MOST
+        for part in parts[:-1]:
+            part["continued"] = True
+        return b"".join(framed(encode({"t": "assign", **part})) for part in parts)
+
+    def parts(self, users: Users, bound: frozenset[int]) -> Iterator[dict[str, Any]]:
+        for table, places in users:
+            whole = not bound.isdisjoint(places)
+            lines = self.tables[table] if whole else self.moved.get(table)
+            if whole or lines:
+                part = self.routes(places)
+                if whole:
+                    part["full"] = True
+                yield {**part, "endpoints": list((lines or {}).items())}
+            turned = self.turned.get(table, set()) | self.turned.get(ALL, set())
+            for place in places:
+                if (whole or place in turned) and (level := self.level_of(table, place)):
+                    yield {**self.routes((place,)), "admit": level[0], "policy": level[1]}
+        if not users and ALL in self.turned:
+            for place in sorted(self.turned[ALL]):
+                allowed, tries = self.levels[ALL][place]
+                yield {**self.routes((place,)), "admit": allowed, "policy": tries}
+
+    def level_of(self, table: int, place: int) -> tuple[float, int] | None:
+        """Of a table's own level and the one for all the lower, with the table's own way of trying again."""
+        own, all_ = self.levels.get(table, {}).get(place), self.levels.get(ALL, {}).get(place)
+        if own and all_:
+            return min(own[0], all_[0]), own[1]
+        return own or all_
+
+    def routes(self, places: tuple[int, ...]) -> dict[str, Any]:
+        if len(places) == len(self.classes):
+            return {}
+        return {"routes": [self.classes[place] for place in places]}
--- a/quillstep/interface.py
+++ b/quillstep/interface.py
@@ -6,7 +6,9 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
+
+Id = Any  # an endpoint's, a number or a text
 
 
 class ClassFacts(NamedTuple):
@@ -72,10 +74,10 @@
 class Orders(Protocol):
     """The writer that is passed in with each round; an order takes effect in the sequence written."""
 
-    def line(self, table: int, endpoint: int, weight: float) -> None:
+    def line(self, table: int, endpoint: Id, weight: float) -> None:
         """Give an endpoint this weight in a table; 0 takes it out."""
 
-    def withdraw(self, endpoint: int, out: bool) -> None:
+    def withdraw(self, endpoint: Id, out: bool) -> None:
         """Keep an endpoint out of all tables that joined proxies hold, whoever wrote them, or let it back."""
 
     def bind(self, proxy: int, table: int, classes: Iterable[int]) -> None:
@@ -84,7 +86,7 @@
     def level(self, table: int, classes: Iterable[int], allowed: float, tries: int) -> None:
         """Set what a table's proxies let in of these classes, and their way of trying again."""
 
-    def probe(self, endpoint: int) -> None:
+    def probe(self, endpoint: Id) -> None:
         """Ask for one health check."""
 
     def receipt(self, serial: int) -> None:
--- a/quillstep/xds/poller.py
+++ b/quillstep/net/poller.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import errno
 import os
 import select
 import socket
@@ -14,20 +15,64 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from typing import Any, Protocol
 
 import structlog
 
-from quillstep.settings import LimitsRecord
-from quillstep.xds.http2 import ConnectionBroken, Event, GrpcConnection
-
 CHUNK = 64 * 1024
 IDLE_MS = 500.0
 TEND_MS = 250.0
-MESSAGES_PER_S = 1000.0  # that one peer may send for long; as many may come at once
+REFUSED_MS = 1000.0  # between two lines of the log on connections that find no room
+ACCEPTS = 64  # connections taken between two looks at the others
+FULL = (errno.EMFILE, errno.ENFILE)
 READ, WRITE = select.POLLIN, select.POLLOUT
 ENDED = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+Event = tuple
+
+
+class ConnectionBroken(Exception):
+    """The peer broke the protocol; the connection can't go on.  The text is for the log."""
+
+
+class Codec(Protocol):
+    """One connection's protocol without I/O; not safe for threads, its `Served` holds a lock.
+
+    `receive` raises ConnectionBroken.  Until `started` a connection counts as a stranger's.
+    """
+
+    started: bool
+    held_bytes: int
+
+    def receive(self, data: bytes) -> list[Event]: ...
+    def send(self, stream: int, message: bytes) -> None: ...
+    def pump(self) -> bytes: ...
+    def ping(self) -> None: ...
+    def goodbye(self) -> bytes: ...
+
+
+class Limits(Protocol):
+    """What one connection may cost."""
+
+    @property
+    def unsent_most_bytes(self) -> int: ...
+    @property
+    def connections_most(self) -> int: ...
+    @property
+    def strangers_most(self) -> int: ...
+    @property
+    def messages_per_s(self) -> float: ...
+    @property
+    def handshake_ms(self) -> float: ...
+    @property
+    def write_ms(self) -> float: ...
+    @property
+    def silent_ms(self) -> float: ...
+    @property
+    def ping_ms(self) -> float: ...
+
+
 def now_ms() -> float:
     return time.monotonic() * 1000.0
 
@@ -35,39 +80,42 @@
 class Served:
     """One connection.  `send`, `with_connection`, `unsent`, `stop` may be called from any thread and never block."""
 
-    def __init__(self, poller: "Poller", sock: socket.socket, http2: GrpcConnection) -> None:
-        self.poller, self.sock, self.http2 = poller, sock, http2
+    def __init__(self, poller: "Poller", sock: socket.socket, codec: Any) -> None:
+        self.poller, self.sock, self.codec = poller, sock, codec
         self.lock = threading.Lock()
         self.out = bytearray()  # what the socket has not taken yet; the poller's thread alone touches it
         self.begun_ms = self.heard_ms = self.pinged_ms = self.written_ms = now_ms()
-        self.budget, self.counted_ms = MESSAGES_PER_S, self.begun_ms
+        self.budget, self.counted_ms = poller.limits.messages_per_s, self.begun_ms
         self.polled = READ
         self.holds = False  # it is not read while this stands
-        self.started = False  # the first request has come
         self.touched = False
         self.stopping = ""  # why it is to end
         self.gone = False
 
+    @property
+    def started(self) -> bool:
+        return self.codec.started
+
     def unsent(self) -> int:
-        return self.http2.held_bytes + len(self.out)
+        return self.codec.held_bytes + len(self.out)
 
     def send(self, stream: int, message: bytes) -> bool:
         """Queue a message; False if the peer is over its bound and is cut off."""
         with self.lock:
             if self.stopping or self.gone:
                 return False
-            self.http2.send(stream, message)
+            self.codec.send(stream, message)
             over = self.unsent() > self.poller.limits.unsent_most_bytes + 2 * len(message)
         if over:
             self.stop("it reads more slowly than its bound allows")
         self.poller.touch(self)
         return not over
 
-    def with_connection(self, what: Callable[[GrpcConnection], None]) -> None:
+    def with_connection(self, what: Callable[[Any], None]) -> None:
         """Do something with the connection; the poller sees to the rest."""
         with self.lock:
             if not self.gone:
-                what(self.http2)
+                what(self.codec)
         self.poller.touch(self)
 
     def hold(self, holds: bool) -> None:
@@ -93,24 +141,25 @@
     def __init__(
         self,
         listen: str,
-        limits: LimitsRecord,
+        limits: Limits,
+        codec: Callable[[], Codec],
         sink: Callable[[Served, Event], None],
         closed: Callable[[Served, str], None],
         *,
-        message_most: int,
         silent_ms: float,
         passed: Callable[[], float] | None = None,
     ) -> None:
         self.limits, self.sink, self.closed, self.passed = limits, sink, closed, passed
-        self.message_most, self.silent_ms = message_most, silent_ms
+        self.codec, self.silent_ms = codec, silent_ms
         host, _, port = listen.rpartition(":")
         self.listener = socket.create_server((host.strip("[]"), int(port)), backlog=1024)
         self.address = "{}:{}".format(*self.listener.getsockname()[:2])
         self.poll = select.poll()
+        self.listener.settimeout(0)  # several wait at once; the accepted ones block
         self.peers: dict[int, Served] = {}
-        self.inputs: dict[
-            int, Callable[[], bool]
-        ] = {}  # other descriptors; False from one of these ends the poller
+        self.strangers: dict[int, Served] = {}  # those of them that have not started, oldest first
+        # Other descriptors; False from one of these ends the poller.
+        self.inputs: dict[int, Callable[[], bool]] = {}
         self.touched: deque[Served] = deque()
         self.waker, self.woken = os.pipe()
         os.set_blocking(self.waker, False)
@@ -118,8 +167,9 @@
         self.awake = False
         self.ending = threading.Event()
         self.tended_ms = now_ms()
+        self.refused_ms = float("-inf")
         self.read_s = 0.0  # processor time spent on sockets and streams
-        self.log = structlog.get_logger("xds")
+        self.log = structlog.get_logger("net")
 
     def listen_to(self, descriptor: int, take: Callable[[], bool]) -> None:
         self.inputs[descriptor] = take
@@ -180,20 +230,60 @@
         os.close(self.woken)
 
     def accept(self) -> None:
-        try:
-            sock, _ = self.listener.accept()
-        except OSError:
-            return
-        if len(self.peers) >= self.limits.connections_most:
-            self.log.warning("connection refused", reason="too many connections", most=len(self.peers))
+        """Take what waits, up to a number; the rest at the next pass, after a look at the others."""
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as trouble:
+                if trouble.errno in FULL and not self.give_up_a_stranger():
+                    self.refuse("no descriptor is left")
+                return
+            self.take_in(sock)
+
+    def take_in(self, sock: socket.socket) -> None:
+        limits = self.limits
+        sock.settimeout(None)
+        if len(self.peers) >= limits.connections_most and not self.give_up_a_stranger():
+            self.refuse("too many connections")
             sock.close()
             return
+        while len(self.strangers) >= limits.strangers_most:
+            self.give_up_a_stranger()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        peer = Served(self, sock, GrpcConnection(False, self.message_most, self.limits.headers_most_bytes))
-        self.peers[sock.fileno()] = peer
+        peer = Served(self, sock, self.codec())
+        self.peers[sock.fileno()] = self.strangers[sock.fileno()] = peer
         self.poll.register(sock, READ)
         self.look_at(peer)
 
+    def refuse(self, reason: str) -> None:
+        """Say so, at most once a second."""
+        if now_ms() - self.refused_ms > REFUSED_MS:
+            self.refused_ms = now_ms()
+            self.log.warning("connection refused", reason=reason, most=len(self.peers))
+
+    def give_up_a_stranger(self) -> bool:
+        """End the oldest connection that has not started, so that silent ones by hundreds use up no descriptors.
+
+        Read first: what has come may be its start.  This could harm one that starts late while many come at once; it
+        dials anew.
+        """
+        while self.strangers:
+            peer = next(iter(self.strangers.values()))
+            if not peer.gone:
+                self.serve(peer, READ)
+            self.settle(peer)
+            if not peer.started:
+                self.finish(peer, "too many connections have not started")
+                return True
+        return False
+
+    def settle(self, peer: Served) -> None:
+        """One that has started is no stranger any more."""
+        if peer.started:
+            self.strangers.pop(peer.sock.fileno(), None)
+
     def serve(self, peer: Served, events: int) -> None:
         """Read what has come, hand it on, write what there is room for."""
         if events & (READ | ENDED):
@@ -218,12 +308,12 @@
     def take(self, peer: Served, data: bytes) -> None:
         peer.heard_ms = now_ms()
         with peer.lock:
-            events = peer.http2.receive(data)
+            events = peer.codec.receive(data)
         for event in events:
-            peer.started = True
             self.sink(peer, event)
         if events:
             peer.budget -= len(events)
+            self.settle(peer)
 
     def look_at_touched(self) -> None:
         while self.touched:
@@ -236,7 +326,7 @@
         """Write what there is room for; poll it for what it may do; end it if it is to end."""
         try:
             with peer.lock:
-                peer.out += peer.http2.pump()
+                peer.out += peer.codec.pump()
             if peer.out:
                 self.write(peer)
         except OSError:
@@ -271,7 +361,7 @@
     def say_goodbye(peer: Served) -> None:
         """What the protocol has to say to one that broke it, if it still reads."""
         with peer.lock, contextlib.suppress(OSError):
-            peer.sock.send(peer.http2.h2.data_to_send()[:4096], socket.MSG_DONTWAIT)
+            peer.sock.send(peer.codec.goodbye(), socket.MSG_DONTWAIT)
 
     def finish(self, peer: Served, reason: str) -> None:
         with peer.lock:
@@ -279,6 +369,7 @@
                 return
             peer.gone = True
         self.peers.pop(peer.sock.fileno(), None)
+        self.strangers.pop(peer.sock.fileno(), None)
         with contextlib.suppress(KeyError, OSError, ValueError):
             self.poll.unregister(peer.sock)
         with contextlib.suppress(OSError):
@@ -292,7 +383,8 @@
         limits = self.limits
         for peer in list(self.peers.values()):
             held = peer.budget < 0
-            peer.budget = min(MESSAGES_PER_S, peer.budget + (now - peer.counted_ms) * MESSAGES_PER_S / 1000.0)
+            back = (now - peer.counted_ms) * limits.messages_per_s / 1000.0
+            peer.budget = min(limits.messages_per_s, peer.budget + back)
             peer.counted_ms = now
             if not peer.started and now - peer.begun_ms > limits.handshake_ms:
                 self.finish(peer, "no request came in time")
@@ -303,10 +395,10 @@
             elif peer.started and now - max(peer.heard_ms, peer.pinged_ms) > limits.ping_ms:
                 peer.pinged_ms = now
                 with peer.lock:
-                    peer.http2.ping()
+                    peer.codec.ping()
                 self.look_at(peer)
             elif held:
                 self.look_at(peer)
 
 
-__all__ = ["Poller", "Served", "now_ms"]
+__all__ = ["Codec", "ConnectionBroken", "Event", "Limits", "Poller", "Served", "now_ms"]
--- a/quillstep/pilot/core.py
+++ b/quillstep/pilot/core.py
@@ -3,7 +3,6 @@
 The same core runs on sockets in real time and wherever else news and a clock are passed in.
 """
 
-import heapq
 from collections import deque
 from collections.abc import Iterable
 from typing import Any
@@ -14,6 +13,7 @@
 from quillstep.pilot.baselines import EvenPlanner, ListedPlanner
 from quillstep.pilot.channel import Channel
 from quillstep.pilot.intake import PlainIntake
+from quillstep.pilot.rounds import Rounds
 from quillstep.reports.gather import Asked, Gatherer
 from quillstep.reports.guard import Account, Told
 from quillstep.reports.intake import INTAKE_PART, Intake
@@ -47,6 +47,7 @@
         self.facts = start_facts(record.fleet)
         channel, proxies = record.fleet.channel, record.fleet.proxies
         self.planner = PLANNERS[record.decides](self.facts, record.seed)
+        self.next_round = Rounds(self.planner, record.gather_ms)
         classes = record.fleet.classes
         self.ways = Ways([allowed_way(row.semantics) for row in classes], [row.cut_off_ms for row in classes])
         stall_ms = STALL_PART * min(row.agreed_ms for row in classes) if record.limits.spreads else 0.0
@@ -84,22 +85,25 @@
         self.endpoints: dict[tuple[str, int], int] = {}  # by address
         self.states: dict[int, str] = {}
         self.listed = False  # the roster has spoken
-        self.incoming = Incoming(0.0)
-        self.news_ms: float | None = None  # when the first news since the last round came
-        self.wakes: list[tuple[float, int]] = []
         self.ordered: dict[int, float] = {}
         self.probes: list[tuple[int, str, int]] = []  # to be asked: endpoint and address
         self.placed: list[tuple[int, str, int]] = []
         self.now_ms = 0.0
-        self.rounds = 0
         self.orders: list[list[Any]] | None = None  # of the last round, where somebody wants them kept
         self.log = structlog.get_logger("pilot")
 
     # news
 
+    @property
+    def incoming(self) -> Incoming:
+        return self.next_round.incoming
+
+    @property
+    def rounds(self) -> int:
+        return self.next_round.count
+
     def heard(self, now_ms: float) -> None:
-        if self.news_ms is None:
-            self.news_ms = now_ms
+        self.next_round.heard(now_ms)
 
     def roster(self, kind: str, entries: list[tuple], addresses: dict[int, tuple[str, int]]) -> None:
         """News of the list; entries as the interface has them."""
@@ -305,11 +309,7 @@
         """When the next round is due."""
         if not self.listed:
             return float("inf")
-        due = self.wakes[0][0] if self.wakes else float("inf")
-        due = min(due, self.plain.due_ms(), self.intake.due_ms())
-        if self.news_ms is not None:
-            due = min(due, self.news_ms + self.record.gather_ms)
-        return due
+        return min(self.next_round.due_ms(), self.plain.due_ms(), self.intake.due_ms())
 
     def next_ms(self) -> float:
         """When `step` has something to do next."""
@@ -322,10 +322,7 @@
         return due if self.by_inbox else min(due, self.intake.plan_ms())
 
     def round(self, now_ms: float) -> None:
-        while self.wakes and self.wakes[0][0] <= now_ms:
-            heapq.heappop(self.wakes)
-        incoming, self.incoming, self.news_ms = self.incoming, Incoming(0.0), None
-        incoming.now_ms = now_ms
+        incoming = self.next_round.begin(now_ms)
         intake = self.plain if self.by_inbox else self.intake
         if intake.due_ms() <= now_ms:
             incoming.sums, incoming.arrivals = intake.hand_over(now_ms)
@@ -339,12 +336,11 @@
         self.ordered.pop(self.tables.number - ORDERS_KEPT, None)
         if self.orders is not None:
             self.orders = []
-        self.planner.round(
+        self.next_round.call(
             incoming, Writer(self) if self.orders is None else KeepingWriter(self, self.orders)
         )
         self.book.flush()
         self.channel.put(self.tables.commit(), now_ms)
-        self.rounds += 1
         self.tell_held(now_ms)
 
     def ordered_ms(self, number: int) -> float:
@@ -388,7 +384,7 @@
         """Nothing to do: the roster's stream is dialled anew by itself, and brings what was missed."""
 
     def wake(self, token: int, at_ms: float) -> None:
-        heapq.heappush(self.core.wakes, (at_ms, token))
+        self.core.next_round.wake(token, at_ms)
 
     def note(self, text: str) -> None:
         self.core.log.info("note", reason=text)
--- /dev/null
+++ b/quillstep/platform/record.py
@@ -0,0 +1,165 @@
+"""The configuration that the platform hands a pilot: read, checked, and turned into what the pilot goes by.
+
+`Fault` is one sentence that names file, path, what was found and what was expected.
+"""
+
+import json
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from quillstep.facts import ms, start_facts, whole
+from quillstep.frames.check import Known
+from quillstep.interface import StartFacts
+
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^ :]+:\d{1,5}$")]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+FILE, NAME, LISTEN, DISCOVERY = (f"BALANCER_{name}" for name in ("CONFIG", "NAME", "LISTEN", "DISCOVERY"))
+
+
+class Fault(Exception):
+    """What is wrong with the configuration, in one sentence."""
+
+
+class LimitsRecord(msgspec.Struct, frozen=True):
+    """What the machine gives."""
+
+    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = 2048.0
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+
+
+class ListRecord(msgspec.Struct, frozen=True):
+    """A list of endpoints as discovery words it; entries are checked one by one (`endpoints.py`)."""
+
+    members: list[Any]
+    revision: Count
+    complete: bool = True
+
+
+class PlatformRecord(msgspec.Struct, frozen=True):
+    """The file; fields that are not named here are left alone."""
+
+    name: Text
+    listen: Address
+    discovery: Address
+    settings: dict[str, Any]
+    seed: Text
+    limits: LimitsRecord = LimitsRecord()
+    known: ListRecord = ListRecord([], 0)
+
+
+class PilotFacts(msgspec.Struct, frozen=True):
+    """What the settings say: to the module, of what may come in, and of probes and rounds."""
+
+    start: StartFacts
+    classes: list[str]
+    known: Known
+    tick_ms: float
+    probe_ms: float
+    probe_path: str
+
+
+def flat(value: Any, path: str = "") -> dict[str, str]:
+    """Nested settings in the form of a `start`: paths, lists joined by commas, lists of objects by their places."""
+    if isinstance(value, dict):
+        within = {f"{path}.{name}" if path else name: inner for name, inner in value.items()}
+    elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+        within = {f"{path}.{place}": inner for place, inner in enumerate(value)}
+        return {f"{path}.count": str(len(value)), **flattened(within)}
+    else:
+        return {path: ",".join(plain(each) for each in value) if isinstance(value, list) else plain(value)}
+    return flattened(within)
+
+
+def flattened(within: dict[str, Any]) -> dict[str, str]:
+    found: dict[str, str] = {}
+    for path, inner in within.items():
+        found.update(flat(inner, path))
+    return found
+
+
+def plain(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return "" if value is None else str(value)
+
+
+def read(environment: Mapping[str, str] = os.environ) -> PlatformRecord:
+    """The configuration that the environment names; raises Fault."""
+    path = environment.get(FILE, "")
+    if not path:
+        raise Fault(f"{FILE} names no configuration file: its path was expected there")
+    try:
+        data = Path(path).read_bytes()
+    except OSError as trouble:
+        raise Fault(f"{path}: it can't be read: {trouble.strerror or trouble}") from None
+    try:
+        told = msgspec.json.decode(data)
+    except (msgspec.DecodeError, RecursionError) as trouble:
+        raise Fault(f"{path}: JSON was expected, found what can't be read: {trouble}") from None
+    if isinstance(told, dict):
+        for field, variable in (("name", NAME), ("listen", LISTEN), ("discovery", DISCOVERY)):
+            if field not in told and environment.get(variable):
+                told[field] = environment[variable]
+    try:
+        return msgspec.convert(told, PlatformRecord)
+    except msgspec.ValidationError as trouble:
+        raise Fault(f"{path}: {trouble}{found(told, str(trouble))}") from None
+
+
+def found(told: Any, trouble: str) -> str:
+    """What stands where a check failed, cut short."""
+    _, at, path = trouble.partition(" - at `$.")
+    for name in path.rstrip("`").split(".") if at else []:
+        if not isinstance(told, dict) or name not in told:
+            return ""
+        told = told[name]
+    return f", found {json.dumps(told)[:60]}"
+
+
+def pilot_facts(record: PlatformRecord, path: str) -> PilotFacts:
+    """The settings in the pilot's words; raises Fault."""
+    settings = flat(record.settings)
+    for name, expected in (
+        ("lanes.count", "a list of classes"),
+        ("zones", "names of zones"),
+        ("specifics.dataPlaneSize", "a number of proxies above 0"),
+    ):
+        if settings.get(name, "") in ("", "0"):
+            where = f"$.settings.{name.removesuffix('.count')}"
+            raise Fault(f"{path}: Expected {expected}, found {settings.get(name) or 'nothing'} - at `{where}`")
+    try:
+        start, classes = start_facts(settings)
+        cut_off_ms = max(ms(settings, f"lanes.{place}.giveUp") for place in range(len(classes)))
+        known = Known(
+            whole(settings, "specifics.dataPlaneSize"),
+            frozenset(start.zones),
+            {name: place for place, name in enumerate(classes)},
+            cut_off_ms or float("inf"),
+        )
+        dial_ms, tick_ms = ms(settings, "allowed.dialTimeout"), ms(settings, "tick")
+    except ValueError as trouble:
+        raise Fault(f"{path}: Expected a number, found {trouble} - at `$.settings`") from None
+    return PilotFacts(
+        start, classes, known, tick_ms, PROBE_DIALS * dial_ms or PROBE_MS,
+        "/status/load" if start.load_by_probe else "/health",
+    )  # fmt: skip
+
+
+PROBE_DIALS = 1.6  # times that proxies wait for a connection that a probe may take as a whole
+PROBE_MS = 500.0  # the same where the settings don't tell how long proxies wait
+
+
+def seed_of(text: str) -> int:
+    """A seed as told, hexadecimal mostly."""
+    try:
+        return int(text, 16)
+    except ValueError:
+        return int.from_bytes(text.encode(), "big")
--- /dev/null
+++ b/quillstep/platform/service.py
@@ -0,0 +1,233 @@
+"""The live pilot: the module, told and obeyed over the platform's protocol.
+
+The poller's thread reads and writes streams, the watch and the prober have threads of their own, this one decides.
+Orders leave as the module wrote them: the channel that it counts for is the platform's own, so no channel, ledger,
+gate, book or store of ours stands between (docs/node.md).
+"""
+
+import os
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from quillstep.frames.front import FrameFront, FrameLimits
+from quillstep.frames.orders import FrameOrders
+from quillstep.net.poller import Served, now_ms
+from quillstep.pilot.lanes import Lanes
+from quillstep.pilot.probes import Prober
+from quillstep.pilot.rounds import Rounds
+from quillstep.platform.endpoints import News, read_list
+from quillstep.platform.record import Fault, PilotFacts, PlatformRecord, pilot_facts, seed_of
+from quillstep.platform.watch import Watch
+from quillstep.rules import Planner
+
+STACK_BYTES = 256 * 1024
+BATCH = 1024  # pieces of news between two rounds
+NEWS_MOST = 4096  # that wait for this thread before reports add up
+IDLE_S = 0.1  # also the longest that a signal waits
+SAY_MS = 5000.0
+PROBERS = 12
+OWN = 24  # descriptors for the log, the watch, the listener and what the interpreter opens; probes come on top
+STRANGERS_MOST = 256
+FORGET_PERIODS = 30.0  # report periods after which sums of an endpoint that has gone are of no interest
+
+
+def limits_of(record: PlatformRecord, facts: PilotFacts) -> FrameLimits:
+    """All proxies must find room beside strangers; these get what is left."""
+    most = record.limits.sockets - OWN - PROBERS
+    joined = facts.known.proxies + 2 * len(facts.known.zones)
+    return FrameLimits(most, max(16, min(STRANGERS_MOST, most - joined)))
+
+
+class LivePilot:
+    """`run` is the deciding thread; `wanted` is what a signal asks for: "reload" or "stop"."""
+
+    def __init__(self, record: PlatformRecord, facts: PilotFacts) -> None:
+        threading.stack_size(STACK_BYTES)
+        self.record, self.facts = record, facts
+        self.wanted = ""
+        self.offset_ms = now_ms() - time.time() * 1000.0
+        self.lanes = Lanes(NEWS_MOST, 1)
+        self.rounds = Rounds(Planner(facts.start, seed_of(record.seed)), facts.tick_ms)
+        self.log = structlog.get_logger("pilot")
+        self.orders = FrameOrders(facts.classes, self.probe, self.rounds.wake, self.note)
+        self.at: dict[int, Served] = {}  # where each joined proxy's stream is
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.gone: dict[str, float] = {}  # endpoints that are listed no more, and since when
+        self.dropped: Counter[str] = Counter()
+        self.late_ms = 0.0  # the worst of the rounds since the last line of figures
+        self.cpu_ms = 0.0  # the longest of them
+        self.written = self.written_bytes = 0
+        self.said_ms = now_ms()
+        self.front = FrameFront(record.listen, limits_of(record, facts), facts.known, self.bring)
+        self.watch = Watch(record.discovery, record.known.revision, self.offset_ms, self.put)
+        self.prober = Prober(PROBERS, facts.probe_ms, self.put, facts.probe_path)
+
+    # from other threads
+
+    def put(self, news: tuple) -> None:
+        self.lanes.bring((now_ms(), news))
+
+    def bring(self, news: tuple, key: Any = None, add: Callable | None = None) -> None:
+        self.lanes.bring((now_ms(), news), key, add)
+
+    # the deciding thread
+
+    def run(self, reload: Callable[[], PlatformRecord]) -> None:
+        """Decide until a signal asks to stop."""
+        known = {"revision": self.record.known.revision, "complete": True, "members": self.record.known.members}
+        self.take_list(read_list(known, self.offset_ms, "persisted"))
+        self.rounds.heard(now_ms() - self.facts.tick_ms)
+        threading.Thread(target=self.front.poller.run, daemon=True).start()
+        self.watch.start()
+        self.log.info(
+            "pilot ready", pilot=self.record.name, address=self.front.poller.address,
+            endpoints=len(self.addresses), limits=limits_of(self.record, self.facts)._asdict(),
+        )  # fmt: skip
+        while self.wanted != "stop":
+            if self.wanted == "reload":
+                self.wanted = ""
+                self.reload(reload)
+            self.turn()
+        self.say()
+        self.front.poller.end()
+
+    def turn(self) -> None:
+        """Wait for news or for what is due next, take it in, decide, write."""
+        wait_s = (self.rounds.due_ms() - now_ms()) / 1000.0
+        if wait_s > 0:
+            self.lanes.wait(min(IDLE_S, wait_s))
+        for arrived_ms, news in self.lanes.take(BATCH):
+            TAKES[news[0]](self, *news[1:])
+            self.rounds.heard(arrived_ms)
+        now = now_ms()
+        due = self.rounds.due_ms()
+        if due <= now:
+            self.late_ms = max(self.late_ms, now - due)
+            self.round(now)
+        if now - self.said_ms > SAY_MS:
+            self.say()
+
+    def round(self, now: float) -> None:
+        begun = time.thread_time()
+        incoming = self.rounds.begin(now)
+        self.rounds.call(incoming, self.orders)
+        for proxy, message in self.orders.flush():
+            self.at[proxy].send(0, message)
+            self.written += 1
+            self.written_bytes += len(message)
+        self.cpu_ms = max(self.cpu_ms, 1000.0 * (time.thread_time() - begun))
+
+    def probe(self, endpoint: str) -> None:
+        if endpoint in self.addresses:
+            self.prober.ask(endpoint, *self.addresses[endpoint])
+
+    def note(self, text: str) -> None:
+        self.log.info("note", reason=text)
+
+    # news
+
+    def take_join(self, peer: Served, proxy: int, zone: str, usual: float, fresh: bool) -> None:
+        if before := self.at.get(proxy):  # it has dialled anew before its old stream was seen to end
+            self.take_leave(before, proxy)
+            before.stop("its proxy dialled anew")
+        self.at[proxy] = peer
+        self.orders.join(proxy)
+        self.rounds.incoming.streams.append((proxy, True, zone, usual, fresh))
+        self.log.info("proxy joined", proxy=proxy, zone=zone, fresh=fresh)
+
+    def take_leave(self, peer: Served, proxy: int) -> None:
+        if self.at.get(proxy) is not peer:
+            return  # the end of an older stream
+        del self.at[proxy]
+        self.orders.leave(proxy)
+        self.rounds.incoming.streams.append((proxy, False, "", 0.0, False))
+
+    def take_receipt(self, peer: Served, proxy: int, serial: int) -> None:
+        if self.at.get(proxy) is peer and self.orders.answered(proxy, serial):
+            self.rounds.incoming.receipts.append(serial)
+        else:
+            self.dropped["a mark that was not asked for"] += 1
+
+    def take_sums(self, row: tuple) -> None:
+        if row[0] in self.addresses or row[0] in self.gone:
+            self.rounds.incoming.sums.append(row)
+        else:
+            self.dropped["sums of an endpoint that is not listed"] += 1
+
+    def take_arrivals(self, row: tuple) -> None:
+        self.rounds.incoming.arrivals.append(row)
+
+    def take_probe(self, endpoint: str, answered: bool, took_ms: float, load: dict[str, float]) -> None:
+        self.rounds.incoming.probes.append((endpoint, answered, took_ms, load))
+
+    def take_list(self, news: News) -> None:
+        """What discovery says; addresses and names of what has gone are forgotten after a while."""
+        now = now_ms()
+        listed = {entry[0] for entry in news.entries if entry[2] != "terminated"}
+        gone = {entry[0] for entry in news.entries} - listed
+        if news.kind == "complete":
+            gone |= self.addresses.keys() - listed
+        for endpoint in gone:
+            if self.addresses.pop(endpoint, None):
+                self.gone[endpoint] = now
+        self.addresses.update({endpoint: news.addresses[endpoint] for endpoint in listed})
+        forget_ms = FORGET_PERIODS * self.facts.start.report_every_ms
+        self.gone = {e: at for e, at in self.gone.items() if now - at < forget_ms and e not in listed}
+        self.rounds.incoming.lists.append((news.kind, news.entries))
+
+    # configuration and figures
+
+    def reload(self, read: Callable[[], PlatformRecord]) -> None:
+        """Take what may change in service; a file that can't be used leaves the old one in force."""
+        try:
+            record = read()
+            pilot_facts(record, "the new configuration")
+        except Fault as trouble:
+            self.log.error("configuration kept", reason=str(trouble))
+            return
+        kept = [name for name in ("name", "listen", "settings") if getattr(record, name) != getattr(self.record, name)]
+        self.watch.move(record.discovery)
+        self.record = record
+        self.log.info("configuration read", discovery=record.discovery, needs_a_restart=kept)
+
+    def say(self) -> None:
+        """A line of figures."""
+        self.said_ms = now_ms()
+        front = self.front
+        self.log.info(
+            "figures", joined=len(self.at), connections=len(front.poller.peers), rounds=self.rounds.count,
+            late_ms=round(self.late_ms, 1), round_cpu_ms=round(self.cpu_ms, 1), cpu_s=round(time.process_time(), 2),
+            messages=self.written, bytes=self.written_bytes, endpoints=len(self.addresses),
+            dropped=dict(front.dropped + self.dropped), ended=dict(front.ended), watch=self.watch.state,
+            dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision, **machine(),
+        )  # fmt: skip
+        self.late_ms = self.cpu_ms = 0.0
+
+
+def machine() -> dict[str, float]:
+    """Resident memory and descriptors of this process, where the system tells them."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            pages = int(file.read().split()[1])
+        return {
+            "resident_mb": round(pages * os.sysconf("SC_PAGE_SIZE") / 2**20, 1),
+            "descriptors": len(os.listdir("/proc/self/fd")),
+        }
+    except (OSError, ValueError, IndexError):
+        return {}
+
+
+TAKES: dict[str, Callable[..., None]] = {
+    "join": LivePilot.take_join,
+    "leave": LivePilot.take_leave,
+    "receipt": LivePilot.take_receipt,
+    "sums": LivePilot.take_sums,
+    "arrivals": LivePilot.take_arrivals,
+    "probe": LivePilot.take_probe,
+    "list": LivePilot.take_list,
+}
--- a/quillstep/reports/process.py
+++ b/quillstep/reports/process.py
@@ -14,6 +14,7 @@
 import structlog
 
 from quillstep import logs
+from quillstep.net.poller import Poller, Served, now_ms
 from quillstep.reports.desk import Desk
 from quillstep.reports.gather import Asked, Gatherer
 from quillstep.reports.guard import Account
@@ -21,7 +22,7 @@
 from quillstep.reports.reader import say
 from quillstep.settings import FleetRecord, LimitsRecord, ReportsRecord
 from quillstep.xds.grpc import UNIMPLEMENTED
-from quillstep.xds.poller import Poller, Served, now_ms
+from quillstep.xds.http2 import GrpcConnection
 from quillstep.xds.server import LOAD
 
 INPUT_CHUNK = 256 * 1024
@@ -35,7 +36,8 @@
         self.usual_ms = fleet.proxies.report_every_ms
         self.desk = Desk(Gatherer(facts, fleet))
         self.poller = Poller(
-            listen, limits, self.event, self.closed, message_most=facts.message_most_bytes,
+            listen, limits, lambda: GrpcConnection(False, facts.message_most_bytes, limits.headers_most_bytes),
+            self.event, self.closed,
             silent_ms=limits.silent_ms + LONGEST * self.usual_ms, passed=self.work,
         )  # fmt: skip
         self.poller.listen_to(0, self.told)
--- a/quillstep/settings/records.py
+++ b/quillstep/settings/records.py
@@ -93,6 +93,8 @@
     silent_ms: Positive = 15000.0  # without any byte, pings included
     ping_ms: Positive = 3000.0
     connections_most: Annotated[int, Field(ge=1)] = 2048
+    strangers_most: Annotated[int, Field(ge=1)] = 1024  # of them, without a request yet; the oldest ends first
+    messages_per_s: Positive = 1000.0  # that one peer may send for long; as many may come at once
     subscriptions_most: Annotated[int, Field(ge=1)] = 4096
     spreads: bool = True  # what makes a proxy stand still for long goes in pieces; false: the baseline, all at once
     news_most: Annotated[int, Field(ge=1)] = 4096  # messages between readers and the deciding thread
--- a/quillstep/xds/http2.py
+++ b/quillstep/xds/http2.py
@@ -13,9 +13,9 @@
 import h2.exceptions
 import h2.settings
 
+from quillstep.net.poller import ConnectionBroken, Event
 from quillstep.xds.grpc import INTERNAL, UNAVAILABLE, FramingError, Unframer, frame
 
-Event = tuple
 STREAMS_MOST = 16  # on one connection
 WINDOW = 2**20
 STREAM_WINDOW = 2**16 - 1  # of one stream, at a server: what waits of a peer's reports is never more
@@ -26,10 +26,6 @@
     return {bytes(name).decode("latin-1"): bytes(value).decode("latin-1") for name, value in headers or ()}
 
 
-class ConnectionBroken(Exception):
-    """The peer broke the protocol; the connection can't go on.  The text is for the log."""
-
-
 class GrpcConnection:
     """Either end of a connection; not safe for threads, its owner holds a lock."""
 
@@ -51,6 +47,7 @@
         self.closing: dict[int, tuple[int, str]] = {}  # streams to be ended once their messages are out
         self.answered: set[int] = set()  # streams whose response headers are out
         self.held_bytes = 0
+        self.started = False  # the first request has come
         self.owed: dict[
             int, list[int]
         ] = {}  # streams that get room by `taken`: bytes and messages not taken yet
@@ -70,6 +67,7 @@
         events: list[Event] = []
         for event in found:
             events += self.translate(event)
+        self.started = self.started or bool(events)
         return events
 
     def translate(self, event: h2.events.Event) -> list[Event]:
@@ -204,6 +202,10 @@
     def ping(self) -> None:
         self.h2.ping(b"quillste")
 
+    def goodbye(self) -> bytes:
+        """What the protocol has to say to one that broke it."""
+        return self.h2.data_to_send()[:4096]
+
     def pump(self) -> bytes:
         """The bytes to be written now, as far as the peer's windows reach."""
         for stream in list(self.outgoing):
@@ -242,3 +244,6 @@
         self.answered.discard(stream)
         self.owed.pop(stream, None)
         self.unframers.pop(stream, None)
+
+
+__all__ = ["ConnectionBroken", "Event", "GrpcConnection", "texts"]
--- a/quillstep/xds/server.py
+++ b/quillstep/xds/server.py
@@ -9,11 +9,11 @@
 from envoy.service.load_stats.v3 import lrs_pb2
 from google.protobuf.message import DecodeError
 
+from quillstep.net.poller import Poller
+from quillstep.net.poller import Served as Peer
 from quillstep.settings import LimitsRecord
 from quillstep.xds.grpc import INVALID_ARGUMENT, RESOURCE_EXHAUSTED, UNIMPLEMENTED
-from quillstep.xds.http2 import Event
-from quillstep.xds.poller import Poller
-from quillstep.xds.poller import Served as Peer
+from quillstep.xds.http2 import Event, GrpcConnection
 
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 DELTA, SOTW = ADS + "DeltaAggregatedResources", ADS + "StreamAggregatedResources"
@@ -47,8 +47,9 @@
         self.log = structlog.get_logger("xds")
         most = limits.message_most_bytes
         self.poller = Poller(
-            listen, limits, self.event, self.closed, message_most=most, silent_ms=limits.silent_ms
-        )
+            listen, limits, lambda: GrpcConnection(False, most, limits.headers_most_bytes),
+            self.event, self.closed, silent_ms=limits.silent_ms,
+        )  # fmt: skip
         self.address = self.poller.address
         self.methods: dict[tuple[Peer, int], str] = {}
         self.streams: dict[Peer, set[int]] = {}
