Hold what waits in the channel to what receipts prove; forget what has gone; room a proxy

Ruled out: lines miscounted (a probe held module, writer and messages against each other: the same to the line but for pieces, three less). Lines at fault: rules.push and take_reports, self.left. Now a receipt sets what has left, and half the pace counts from it on. A binding says all withdrawals of its table again.

--- a/quillstep/frames/orders.py
+++ b/quillstep/frames/orders.py
@@ -110,8 +110,8 @@
         messages = []
         for proxy, known in self.proxies.items():
             bound = frozenset(self.bound.get(proxy, ()))
-            out = self.out(known, bool(bound))
-            key = (known.users, bound, out - known.out, known.out - out)
+            out, told = self.out(known, bool(bound))
+            key = (known.users, bound, out - told, known.out - out)
             if key not in made:
                 made[key] = self.message(*key)
             known.out = out
@@ -122,15 +122,19 @@
         self.begin()
         return messages
 
-    def out(self, known: Joined, bound: bool) -> frozenset[str]:
-        """What a proxy is to shut out after this round, of what its tables name; what is unknown may be there."""
+    def out(self, known: Joined, bound: bool) -> tuple[frozenset[str], frozenset[str]]:
+        """What a proxy is to shut out after this round, and what of it need not be said.
+
+        It is what its tables name; where a table is unknown, all that is withdrawn while it is joined.  A binding says
+        it all again: from then on a proxy follows only what this pilot has said, and may have forgotten the rest.
+        """
         if not (bound or self.toggled or self.moved):
-            return known.out
+            return known.out, known.out
         named = {endpoint for table, _ in known.users for endpoint in self.tables[table]}
-        told = known.out & self.withdrawn  # once told it stands until it is let back
+        out = (known.out | named) & self.withdrawn  # once told it stands until it is let back
         if sum(len(places) for _, places in known.users) < len(self.classes):
-            told |= {endpoint for endpoint, out in self.toggled.items() if out}
-        return frozenset(told | (named & self.withdrawn))
+            out |= {endpoint for endpoint, withdrawn in self.toggled.items() if withdrawn}
+        return frozenset(out), known.out - named if bound else known.out
 
     def message(
         self, users: Users, bound: frozenset[int], shut: frozenset[str], back: frozenset[str]
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -204,11 +204,20 @@
             late_ms=round(self.late_ms, 1), round_cpu_ms=round(self.cpu_ms, 1), cpu_s=round(time.process_time(), 2),
             messages=self.written, bytes=self.written_bytes, endpoints=len(self.addresses),
             dropped=dict(front.dropped + self.dropped), ended=dict(front.ended), watch=self.watch.state,
-            dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision, **machine(),
+            dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision,
+            believed=believed(self.rounds.planner), **machine(),
         )  # fmt: skip
         self.late_ms = self.cpu_ms = 0.0
 
 
+def believed(planner: Planner) -> dict[str, Any]:
+    """What the module goes by, to be held against what the endpoints say."""
+    return {
+        "load": round(planner.pressure, 2), "let_in": round(planner.fit, 2), "answered_per_s": round(planner.flow, 1),
+        "out": [endpoint for endpoint, record in planner.endpoints.items() if record.out],
+    }  # fmt: skip
+
+
 def machine() -> dict[str, float]:
     """Resident memory and descriptors of this process, where the system tells them."""
     try:
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -31,6 +31,7 @@
 SETTLE = 5  # turns until reports show what a proxy that came or went has changed
 TARGET = 0.85  # the load on the fleet that levels aim at
 IDLE = 0.7  # the load on the fleet below which levels need not hold
+OPENS = 0.15  # the part of the offered work by which levels open each turn that the fleet is idle
 SLOW = 0.5  # the mean time of a try, over the agreed time, from which a full fleet counts as late
 QUICK = 0.35  # the same of an endpoint below which a lost answer counts as work done
 KEEPS = 0.7  # what is kept of the smoothed arrivals after a turn
@@ -42,6 +43,7 @@
 MUST = -1e9  # the rank from which on a change is a drain, a death or a cold endpoint's fall
 ORDINARY, JOINS, ALL = 0.4, 0.5, 0.93  # what ordinary changes, joins and all may fill of the channel's limit
 GRACE = 0.2  # the part of the grace for drains that ordinary changes may take in the channel
+FORGETS = 20  # turns after which what has left the list is taken out of tables and forgotten
 OUT_MOST = 0.8  # the part of the listed endpoints that health may shut out
 
 
@@ -66,6 +68,7 @@
     out: bool = False
     sent: dict[int, int] = field(default_factory=dict)  # slots by table, as ordered
     withdrawn: bool = False  # kept out of all tables by order
+    gone_ms: float | None = None  # when it was found to be listed no more
 
 
 @dataclass(slots=True)
@@ -76,6 +79,7 @@
     arrives: list[float]
     pieces: list[list[int]] = field(default_factory=list)  # the endpoints of its pieces of the calendar
     bound: bool = False  # on the calendar
+    heard: bool = False  # its reports have come
 
 
 @dataclass(slots=True)
@@ -98,11 +102,14 @@
         self.draw = Random(seed).random
         self.endpoints: dict[int, Endpoint] = {}
         self.proxies: dict[int, Proxy] = {}
+        self.pieces: dict[int, list[int]] = {}  # what each table that holds a piece of the calendar names
         self.classes = [self.class_row(row) for row in facts.classes]
         self.gain = 1.0  # what must be let in to get what is allowed, over that
         self.fit = 1.0  # the part of the offered work that is let in
+        self.open = 1.0  # the least of it while the fleet is idle
         self.pressure = self.strain = 0.0  # mean load of what is in use; above 1 where tries are late too
-        self.unit = 0.0  # what fills a unit of listed capacity, learnt while the fleet is not full
+        # What each proxy of ours may send a unit of listed capacity until it is full, learnt while it is not.
+        self.unit = 0.0
         self.flow = 0.0  # tries a second that our proxies had answered, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
         self.turn_ms: float | None = None
@@ -110,7 +117,8 @@
         # When a proxy went or came with another pilot's orders, when one came so; next wake; last push.
         self.moved_ms = self.joined_ms = self.wake_ms = self.pushed_ms = float("-inf")
         self.room = facts.lines_waiting_most or float("inf")
-        self.written = self.left = 0.0  # lines that went into the channel, and that surely left it
+        self.written = self.left = 0.0  # lines that went into the channel, and that are taken to have left it
+        self.proven = 0.0  # the last of these that a receipt has told of, at `counted_ms`
         self.serial = 0
         self.receipts: dict[int, list[float]] = {}  # lines written before, and a message, by serial
         self.urgent = self.ask = False  # news that can't wait for the turn; the list must be asked for again
@@ -136,7 +144,7 @@
                 orders.watch_list()
             self.learnt_ms, self.moved_ms, self.urgent = now, now, True
         for kind, entries in incoming.lists:
-            self.take_list(kind, entries)
+            self.take_list(kind, entries, now)
         for proxy, joined, zone, usual, fresh in incoming.streams:
             self.take_stream(proxy, joined, zone, usual, fresh, now)
         self.take_reports(incoming)
@@ -156,15 +164,16 @@
 
     # what came in
 
-    def take_list(self, kind: str, entries: list[tuple]) -> None:
+    def take_list(self, kind: str, entries: list[tuple], now: float) -> None:
         if kind == "error":
             self.ask = True  # at the next turn, not at once: a call that failed may have found it full
             return
         if kind != "partial":
             named = {entry[0] for entry in entries}
             for endpoint, record in self.endpoints.items():
-                if endpoint not in named and record.ready:
-                    record.ready, self.urgent = False, True
+                if endpoint not in named and record.gone_ms is None:
+                    self.urgent |= record.ready
+                    record.ready, record.gone_ms = False, now
         for endpoint, zone, state, listed, started_ms in entries:
             record = self.endpoints.get(endpoint)
             if record is None or started_ms > record.started_ms:
@@ -175,6 +184,7 @@
             ready = state == "in_service"
             self.urgent |= record.ready and not ready
             record.ready, record.listed = ready, listed
+            record.gone_ms = now if state == "terminated" else None
 
     def take_stream(self, proxy: int, joined: bool, zone: str, usual: float, fresh: bool, now: float) -> None:
         if self.proxies.pop(proxy, None):
@@ -202,11 +212,13 @@
             # Messages leave in order: so many receipts, so many messages and all that was written before.
             answered = self.receipts.get(serial, [0.0, 0.0])
             answered[0] += answered[1]
-            self.left = max(self.left, min(self.written, answered[0]))
+            if answered[0] > self.proven:
+                self.proven, self.counted_ms = min(self.written, answered[0]), incoming.now_ms
         for place, proxy, arrived, _, covers_ms in incoming.arrivals:
             record = self.proxies.get(proxy)
             if record and covers_ms > 0:
                 step = 1.0 - KEEPS ** (covers_ms / TURN_MS)  # by its age
+                record.heard = True
                 record.arrives[place] += step * (arrived * 1000.0 / covers_ms - record.arrives[place])
 
     # the design
@@ -336,16 +348,22 @@
             busy = [r.busy for r in reached if r.busy is not None]
             self.pressure = sum(busy) / len(busy) if busy else 0.0
             self.strain = self.pressure * (max(1.0, self.slowness / SLOW) if self.pressure > 0.8 else 1.0)
-            if self.strain > 0.0 and self.flow > 0.0 and usable:
-                self.learn_room(usable)
+            if self.strain > 0.0 and self.flow > 0.0 and usable and self.proxies:
+                self.learn_room(usable * max(1, sum(proxy.heard for proxy in self.proxies.values())), now)
         first = self.first_arrivals()
         arrives = sum(first)
         # Endpoints that are lost or found count at once, before the load on the others shows it.
-        allowed = TARGET * self.unit * usable / max(1.0, self.strain)
+        allowed = TARGET * self.unit * len(self.proxies) * usable / max(1.0, self.strain)
         # What a proxy that moves here brings may have been held back by another pilot: it counts as new.
-        joined = now - self.joined_ms < SETTLE * TURN_MS
+        joined = now - self.joined_ms < SETTLE * TURN_MS and self.strain > CALM
         likely = joined or self.strain > IDLE or self.fit < 1.0
         self.fit = min(1.0, allowed / arrives) if likely and self.unit and arrives else 1.0
+        # Found on sockets: repeats of what was refused counted as load, and half was refused at 0.5.
+        if self.strain > IDLE or joined:
+            self.open = self.fit
+        elif due:
+            self.open = min(1.0, self.open + OPENS)
+        self.fit = max(self.fit, self.open)
         if self.strain > IDLE or self.slowness > SLOW:
             self.gain = 1.0 + 0.5 * (self.gain - 1.0)
         elif due and self.fit < 1.0:
@@ -365,10 +383,15 @@
             row.tries = row.calm_tries if self.strain < CALM and not moving else 1 if self.strain < 1.0 else 0
             row.level = self.level(place, part)
 
-    def learn_room(self, usable: float) -> None:
-        """What fills a unit of capacity: measured while there is room, taken back while there is none."""
+    def learn_room(self, usable: float, now: float) -> None:
+        """What fills a unit of capacity: measured while there is room, taken back while there is none.
+
+        Found on sockets: proxies that came brought no sums yet while the load of all showed, and the little that
+        was measured shut out nearly everything.  So it is learnt a proxy, and upwards alone while they move.
+        """
         if self.strain < 0.95:
-            self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
+            step = 0.3 * (self.flow / self.strain / usable - self.unit)
+            self.unit += max(0.0, step) if now - self.moved_ms < SETTLE * TURN_MS else step
         elif not self.unit:  # started over into a storm: most of what is tried is tried again
             self.unit = self.flow / self.strain**2 / usable
         elif self.strain > 1.1:
@@ -403,11 +426,15 @@
         """Drains, deaths and cold falls at once, joins as the channel has room, at the turn what moved most.
 
         Found at full size: the joins of a start alone overran the channel.  What waits there is what was
-        written less what has left by receipts, or at half the usual pace where they are late.
+        written less what has left by receipts, and since the last of them at half the usual pace.
+        Found on sockets: the channel ran at a seventh of its pace, half was counted on beside late receipts, and
+        5,401 lines waited.  Where a few receipts are lost this may hold changes back until the next message.
         """
         facts = self.facts
+        if self.left >= self.written:
+            self.proven, self.counted_ms = self.written, now
         drained = PACE * facts.channel_rate / 1000.0 * (now - self.counted_ms)
-        self.left, self.counted_ms = min(self.written, self.left + drained), now
+        self.left = min(self.written, self.proven + drained)
         crowded = self.written - self.left > JOINS * self.room
         # Found as hee13f4: deaths told one by one each took a message, and none was left for the last.
         gap = 1.2 * facts.messages_over_ms / facts.messages_most if facts.messages_most else 0.0
@@ -456,6 +483,8 @@
             if out != record.withdrawn:
                 orders.withdraw(endpoint, out)
                 record.withdrawn = out
+            if record.gone_ms is not None and not out:
+                del self.endpoints[endpoint]
         self.written += lines + self.facts.lines_per_message * messages
         return messages
 
@@ -468,7 +497,9 @@
             want = {table: slots.get(endpoint, 0) for table, slots in wanted.items()}
             out = not any(want.values())
             weak = not record.ready or self.capacity(record, now) < 1.0
-            if out and not record.withdrawn and (record.sent or not record.ready):
+            if self.forgettable(record, now):
+                yield 0.0, endpoint, dict.fromkeys(record.sent, 0), False
+            elif out and not record.withdrawn and (record.sent or not record.ready):
                 yield MUST * (weak + (not record.ready)) - sum(record.sent.values()), endpoint, {}, True
             elif not out:
                 had = record.sent
@@ -480,6 +511,15 @@
                     moved = max(whole, *(abs(n - had.get(t, 0)) for t, n in want.items()))
                     yield MUST * falls - moved, endpoint, moves, False
 
+    def forgettable(self, record: Endpoint, now: float) -> bool:
+        """Whether an endpoint has gone for good: its lines go, and then nothing is left to keep out.
+
+        Found on sockets: endpoints that are replaced under new ids all day stayed in every table and binding.  A
+        proxy that is not on the calendar may still hold the gone one of old, so none is let back before all are.
+        """
+        gone = record.gone_ms is not None and now - record.gone_ms >= FORGETS * TURN_MS
+        return gone and record.withdrawn and all(proxy.bound for proxy in self.proxies.values())
+
     def send_levels(self, table: int, classes: list[int], orders: Orders) -> int:
         lines = 0
         for place, row in ((place, self.classes[place]) for place in classes):
@@ -516,8 +556,11 @@
                     usable = [endpoint for endpoint in held if endpoint not in gone]
                     step = max(1, len(usable) // max(1, self.facts.standing))
                     held = usable[number % step :: step]
+                    for endpoint in (e for e in self.pieces.get(own, ()) if e not in held):
+                        orders.line(own, endpoint, 0)
                     for endpoint in held:
                         orders.line(own, endpoint, self.endpoints[endpoint].sent[table])
+                    self.pieces[own] = held
                     proxy.pieces.append(held)
                 orders.bind(number, own, classes)
                 self.written += 1 + len(classes) + len(held) + len(gone.intersection(held))
