--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -358,8 +358,8 @@
         joined = now - self.joined_ms < SETTLE * TURN_MS and self.strain > CALM
         likely = joined or self.strain > IDLE or self.fit < 1.0
         self.fit = min(1.0, allowed / arrives) if likely and self.unit and arrives else 1.0
-        # Found on sockets: repeats of what was refused counted as demand, and half was refused at a load of 0.5.  It
-        # could harm where the load reported stays low while tries fail; failing tries count as load for that.
+        # Found on sockets: repeats of what was refused counted as demand, and half was refused at a load of
+        # 0.5.  It could harm where the load stays low while tries fail; these count as load for that.
         if self.strain > IDLE or joined:
             self.open = self.fit
         elif due:
@@ -385,11 +385,10 @@
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
-        """What fills a unit of capacity a proxy: measured while there is room, taken back while there is none.
+        """What fills a unit of capacity, a proxy: measured while there is room, taken back while there is none.
 
-        Found on sockets: proxies that came brought no sums yet while the load of all showed, and the little that
-        was measured shut out nearly everything.  So those that have reported count; it was learnt for all of them
-        together before, and proxies that moved away or here left it too low.
+        Found on sockets: learnt for all proxies together it was too low after some had moved away or here, and
+        those that had not reported yet made it nothing.  So it is counted by those that have.
         """
         if self.strain < 0.95:
             self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
@@ -428,8 +427,8 @@
 
         Found at full size: the joins of a start alone overran the channel.  What waits there is what was
         written less what has left by receipts, and since the last of them at half the usual pace.
-        Found on sockets: the channel ran at a seventh of its pace, half was counted on beside late receipts, and
-        5,401 lines waited.  Where a few receipts are lost this may hold changes back until the next message.
+        Found on sockets: the channel ran at a seventh of its pace, half was counted on beside late receipts,
+        and too much waited.  Where a few receipts are lost this holds changes back until the next message.
         """
         facts = self.facts
         if self.left >= self.written:
@@ -515,8 +514,8 @@
     def forgettable(self, record: Endpoint, now: float) -> bool:
         """Whether an endpoint has gone for good: its lines go, and then nothing is left to keep out.
 
-        Found on sockets: endpoints that are replaced under new ids all day stayed in every table and binding.  A
-        proxy that is not on the calendar may still hold the gone one of old, so none is let back before all are.
+        Found on sockets: endpoints replaced under new ids all day stayed in every table and binding.  A proxy
+        that is not on the calendar may still hold the gone one, so none is let back before all are.
         """
         gone = record.gone_ms is not None and now - record.gone_ms >= FORGETS * TURN_MS
         return gone and record.withdrawn and all(proxy.bound for proxy in self.proxies.values())
