--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -59,6 +59,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.gone: dict[str, float] = {}  # endpoints that are listed no more, and since when
         self.dropped: Counter[str] = Counter()
+        self.told: Counter[str] = Counter()  # tries and arrivals that the module was told of
         self.late_ms = 0.0  # the worst of the rounds since the last line of figures
         self.cpu_ms = 0.0  # the longest of them
         self.written = self.written_bytes = 0
@@ -156,11 +157,13 @@
     def take_sums(self, row: tuple) -> None:
         if row[0] in self.addresses or row[0] in self.gone:
             self.rounds.incoming.sums.append(row)
+            self.told.update(tries=row[1], failed=row[2])
         else:
             self.dropped["sums of an endpoint that is not listed"] += 1
 
     def take_arrivals(self, row: tuple) -> None:
         self.rounds.incoming.arrivals.append(row)
+        self.told.update(arrived=row[2], unanswered=row[3])
 
     def take_probe(self, endpoint: str, answered: bool, took_ms: float, load: dict[str, float]) -> None:
         self.rounds.incoming.probes.append((endpoint, answered, took_ms, load))
@@ -205,7 +208,7 @@
             messages=self.written, bytes=self.written_bytes, endpoints=len(self.addresses),
             dropped=dict(front.dropped + self.dropped), ended=dict(front.ended), watch=self.watch.state,
             dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision,
-            believed=believed(self.rounds.planner), **machine(),
+            believed={**believed(self.rounds.planner), **self.told}, **machine(),
         )  # fmt: skip
         self.late_ms = self.cpu_ms = 0.0
 
--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -385,10 +385,10 @@
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
-        """What fills a unit of capacity, a proxy: measured while there is room, taken back while there is none.
+        """What fills a unit of capacity, a proxy: measured while there is room, taken back while there is not.
 
-        Found on sockets: learnt for all proxies together it was too low after some had moved away or here, and
-        those that had not reported yet made it nothing.  So it is counted by those that have.
+        Found on sockets: learnt for all proxies together it was too low after some had moved away or here,
+        and those that had not reported yet made it nothing.  So it is counted by those that have.
         """
         if self.strain < 0.95:
             self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
