A start closes nothing by its first figures of room, and counts them whole

Checked: tries by the sums against arrivals in the same seconds; ruled out: the list, the channel (receipts in time), lost proxies. Lines at fault: rules.learn_room, set_levels.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -110,6 +110,7 @@
         self.pressure = self.strain = 0.0  # mean load of what is in use; above 1 where tries are late too
         # What each proxy of ours may send a unit of listed capacity until it is full, learnt while it is not.
         self.unit = 0.0
+        self.measures = 0  # turns that it was learnt in; after a storm at the start it counts as learnt
         self.flow = 0.0  # tries a second that our proxies had answered, smoothed
         self.slowness = 0.0  # the mean time of a try over the agreed time, one without an answer as a whole
         self.turn_ms: float | None = None
@@ -369,7 +370,9 @@
             self.gain = 1.0 + 0.5 * (self.gain - 1.0)
         elif due and self.fit < 1.0:
             self.gain = min(2.0, max(1.0, self.gain * (1.05 if self.flow < allowed else 0.95)))
-        if not self.unit:  # nothing is measured yet: let in as much as is left of the list
+        # Nothing is surely measured yet: let in as much as is left of the list.  Found on sockets: a start let
+        # in little by its first figures, and the little that came of it kept them low.
+        if not self.unit or self.measures < SETTLE and self.strain < 0.95:
             self.fit = usable / (sum(r.listed or 1.0 for r in self.endpoints.values()) or 1.0)
         loads = [each * row.agreed_ms for each, row in zip(first, self.facts.classes, strict=True)]
         excess = (1.0 - self.fit) * sum(loads)
@@ -385,15 +388,17 @@
             row.level = self.level(place, part)
 
     def learn_room(self, usable: float) -> None:
-        """What fills a unit of capacity, a proxy: measured while there is room, taken back while there is not.
+        """What fills a unit of capacity, a proxy: measured while there is room, back while there is not.
 
         Found on sockets: learnt for all proxies together it was too low after some had moved away or here,
         and those that had not reported yet made it nothing.  So it is counted by those that have.
         """
         if self.strain < 0.95:
-            self.unit += 0.3 * (self.flow / self.strain / usable - self.unit)
+            room = self.flow / self.strain / usable
+            self.measures += 1
+            self.unit += (1.0 if room > self.unit and self.measures <= SETTLE else 0.3) * (room - self.unit)
         elif not self.unit:  # started over into a storm: most of what is tried is tried again
-            self.unit = self.flow / self.strain**2 / usable
+            self.unit, self.measures = self.flow / self.strain**2 / usable, SETTLE
         elif self.strain > 1.1:
             self.unit *= 0.92
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -343,6 +343,7 @@
     pilot = Pilot(facts(admission="rate"), entries=[entry(1), entry(2)])
     pilot.settle(util=util)
     pilot.planner.fit, pilot.planner.flow, pilot.planner.open = 0.5, 1.0, 0.0
+    pilot.planner.unit *= 0.7
     pilot.planner.set_levels(pilot.now, due=True)
     assert pilot.planner.gain == pytest.approx(gain)
     cap = pilot.planner.level(0, 0.5)
@@ -463,3 +464,15 @@
     for _ in range(8):
         pilot.turn(sums=sums, arrivals=[(0, n, 60, 0, 1000.0) for n in (0, 1)])
     assert (pilot.planner.fit == 1.0) == opens
+
+
+def test_first_figures_close_nothing_and_count_whole():
+    # found on sockets, the reload day: room learnt step by step from nothing let in a fifth at a load of 0.7
+    pilot = Pilot(facts(admission="rate"), [entry(at) for at in range(10)], proxies=0)
+    pilot.turn(streams=[(n, True, "a", 10.0, False) for n in range(40)])
+    for turn in range(2 * pilot.rules.SETTLE):
+        tries = min(40, 16 * (turn + 1))  # reports of the first turns are not all there
+        sums = [(at, tries, 0, 200.0, 1000.0, {"util": 0.72}) for at in range(10)]
+        pilot.turn(sums=sums, arrivals=[(0, n, 10, 0, 1000.0) for n in range(40)])
+        assert pilot.planner.fit == 1.0, turn
+    assert pilot.planner.unit == pytest.approx(400.0 / 0.72 / 10 / 40, rel=0.1)
