One cutting of length-prefixed bodies; signals that cannot undo each other

A SIGTERM that came between the loop's look at a wanted reload and its clearing was overwritten: two flags, only ever set by signals. What tables name is worked out once a round and use, not once a proxy. Constants of record.py stand before their use, a put beside bring and a second raise are gone, entries that the watch drops are in figures (counted and shown nowhere before).

--- a/quillstep/frames/check.py
+++ b/quillstep/frames/check.py
@@ -98,9 +98,8 @@
 def load(report: Any) -> dict[str, float]:
     if report is None:
         return {}
-    if not isinstance(report, dict) or not all(figure(value) for value in report.values()):
-        raise Spoilt("the load report is of another type or out of range")
-    if report.get("util", 0.0) > LOAD_MOST:
+    sound = isinstance(report, dict) and all(figure(value) for value in report.values())
+    if not sound or report.get("util", 0.0) > LOAD_MOST:
         raise Spoilt("the load report is of another type or out of range")
     return report
 
--- a/quillstep/frames/codec.py
+++ b/quillstep/frames/codec.py
@@ -7,18 +7,19 @@
 
 import msgspec
 
+from quillstep.net.lengths import bodies, framed
 from quillstep.net.poller import Event
 
-HEAD = 4
 MESSAGE_MOST = 2**20
+NO_OBJECT = "a message that is no JSON object"
 OPENS = b"{ \t\r\n"  # what an object may begin with
 
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder(dict[str, Any]).decode
 
 
-def framed(body: bytes) -> bytes:
-    return len(body).to_bytes(HEAD, "big") + body
+class Unreadable(Exception):
+    """Nothing can be read any more; the text says why."""
 
 
 class FrameCodec:
@@ -37,27 +38,21 @@
         if self.broken:
             return events
         self.buffer += data
-        at, size = 0, len(self.buffer)
-        while size - at >= HEAD:
-            length = int.from_bytes(self.buffer[at : at + HEAD], "big")
-            # A stranger's is judged before it is held; its first message may be followed at once by others.
-            most = MESSAGE_MOST if self.started or events else self.stranger_most
-            if not 2 <= length <= most:
-                events.append(self.breaks(f"a message of {length} bytes"))
-                return events
-            if size - at > HEAD and self.buffer[at + HEAD] not in OPENS:
-                events.append(self.breaks("a message that is no JSON object"))
-                return events
-            if size - at < HEAD + length:
-                break
-            body = bytes(self.buffer[at + HEAD : at + HEAD + length])
-            at += HEAD + length
-            try:
+
+        def check(length: int, first: bytes) -> None:
+            """A stranger's is judged before it is held; its first message may be followed at once by others."""
+            if not 2 <= length <= (MESSAGE_MOST if self.started or events else self.stranger_most):
+                raise Unreadable(f"a message of {length} bytes")
+            if first and first not in OPENS:
+                raise Unreadable(NO_OBJECT)
+
+        try:
+            for body in bodies(self.buffer, check):
                 events.append(("message", decode(body)))
-            except (msgspec.DecodeError, RecursionError, ValueError):
-                events.append(self.breaks("a message that is no JSON object"))
-                return events
-        del self.buffer[:at]
+        except Unreadable as trouble:
+            events.append(self.breaks(str(trouble)))
+        except (msgspec.DecodeError, RecursionError, ValueError):
+            events.append(self.breaks(NO_OBJECT))
         return events
 
     def breaks(self, why: str) -> Event:
@@ -81,3 +76,6 @@
 
     def goodbye(self) -> bytes:
         return b""
+
+
+__all__ = ["FrameCodec", "decode", "encode", "framed"]
--- a/quillstep/frames/orders.py
+++ b/quillstep/frames/orders.py
@@ -51,6 +51,7 @@
         self.bound: dict[int, set[int]] = {}  # classes that were bound anew, by proxy
         self.toggled: dict[str, bool] = {}
         self.serial: int | None = None
+        self.named: dict[Users, frozenset[str]] = {}  # what tables name at the end of this round
 
     def join(self, proxy: int) -> None:
         self.proxies[proxy] = Joined()
@@ -130,7 +131,10 @@
         """
         if not (bound or self.toggled or self.moved):
             return known.out, known.out
-        named = {endpoint for table, _ in known.users for endpoint in self.tables[table]}
+        named = self.named.get(known.users)
+        if named is None:
+            named = frozenset(endpoint for table, _ in known.users for endpoint in self.tables[table])
+            self.named[known.users] = named
         out = (known.out | named) & self.withdrawn  # once told it stands until it is let back
         if sum(len(places) for _, places in known.users) < len(self.classes):
             out |= {endpoint for endpoint, withdrawn in self.toggled.items() if withdrawn}
--- a/quillstep/platform/__main__.py
+++ b/quillstep/platform/__main__.py
@@ -11,17 +11,23 @@
 from quillstep.platform.service import LivePilot
 
 
+def tell(pilot: LivePilot, came: set[int]) -> None:
+    """Only ever set, so that no signal is lost to another that comes in between."""
+    if signal.SIGTERM in came:
+        pilot.stops = True
+    if signal.SIGHUP in came:
+        pilot.reloads = True
+
+
 def main() -> int:
-    wanted = ""
+    came: set[int] = set()
     pilot: LivePilot | None = None
 
     def on_signal(number: int, frame: FrameType | None) -> None:
         """Only say what is wanted: the loop does it."""
-        nonlocal wanted
-        stops = number == signal.SIGTERM or wanted == "stop"
-        wanted = "stop" if stops else "reload"
+        came.add(number)
         if pilot:
-            pilot.wanted = wanted
+            tell(pilot, {number})
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGHUP, on_signal)
@@ -36,7 +42,7 @@
     except OSError as trouble:
         print(f"quillstep: it can't listen at {found.listen}: {trouble.strerror or trouble}.", file=sys.stderr)
         return 1
-    pilot.wanted = wanted
+    tell(pilot, came)  # what came before there was a pilot
     pilot.run(record.read)
     sys.stderr.flush()
     os._exit(0)  # threads that wait for others' sockets must not hold up the end
--- a/quillstep/platform/record.py
+++ b/quillstep/platform/record.py
@@ -18,6 +18,8 @@
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^ :]+:\d{1,5}$")]
 Count = Annotated[int, msgspec.Meta(ge=0)]
+PROBE_DIALS = 1.6  # times that proxies wait for a connection that a probe may take as a whole
+PROBE_MS = 500.0  # the same where the settings don't tell how long proxies wait
 FILE, NAME, LISTEN, DISCOVERY = (f"BALANCER_{name}" for name in ("CONFIG", "NAME", "LISTEN", "DISCOVERY"))
 
 
@@ -153,10 +155,6 @@
     )  # fmt: skip
 
 
-PROBE_DIALS = 1.6  # times that proxies wait for a connection that a probe may take as a whole
-PROBE_MS = 500.0  # the same where the settings don't tell how long proxies wait
-
-
 def seed_of(text: str) -> int:
     """A seed as told, hexadecimal mostly."""
     try:
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -44,12 +44,12 @@
 
 
 class LivePilot:
-    """`run` is the deciding thread; `wanted` is what a signal asks for: "reload" or "stop"."""
+    """`run` is the deciding thread; signals set `reloads` and `stops`, each apart: none can undo the other."""
 
     def __init__(self, record: PlatformRecord, facts: PilotFacts) -> None:
         threading.stack_size(STACK_BYTES)
         self.record, self.facts = record, facts
-        self.wanted = ""
+        self.reloads = self.stops = False
         self.offset_ms = now_ms() - time.time() * 1000.0
         self.lanes = Lanes(NEWS_MOST, 1)
         self.rounds = Rounds(Planner(facts.start, seed_of(record.seed)), facts.tick_ms)
@@ -65,14 +65,11 @@
         self.written = self.written_bytes = 0
         self.said_ms = now_ms()
         self.front = FrameFront(record.listen, limits_of(record, facts), facts.known, self.bring)
-        self.watch = Watch(record.discovery, record.known.revision, self.offset_ms, self.put)
-        self.prober = Prober(PROBERS, facts.probe_ms, self.put, facts.probe_path)
+        self.watch = Watch(record.discovery, record.known.revision, self.offset_ms, self.bring)
+        self.prober = Prober(PROBERS, facts.probe_ms, self.bring, facts.probe_path)
 
     # from other threads
 
-    def put(self, news: tuple) -> None:
-        self.lanes.bring((now_ms(), news))
-
     def bring(self, news: tuple, key: Any = None, add: Callable | None = None) -> None:
         self.lanes.bring((now_ms(), news), key, add)
 
@@ -89,9 +86,9 @@
             "pilot ready", pilot=self.record.name, address=self.front.poller.address,
             endpoints=len(self.addresses), limits=limits_of(self.record, self.facts)._asdict(),
         )  # fmt: skip
-        while self.wanted != "stop":
-            if self.wanted == "reload":
-                self.wanted = ""
+        while not self.stops:
+            if self.reloads:
+                self.reloads = False
                 self.reload(reload)
             self.turn()
         self.say()
@@ -208,6 +205,7 @@
             messages=self.written, bytes=self.written_bytes, endpoints=len(self.addresses),
             dropped=dict(front.dropped + self.dropped), ended=dict(front.ended), watch=self.watch.state,
             dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision,
+            spoilt=self.watch.spoilt,
             believed={**believed(self.rounds.planner), **self.told}, **machine(),
         )  # fmt: skip
         self.late_ms = self.cpu_ms = 0.0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -522,7 +522,7 @@
             util = endpoints[name].util
             wait_until(lambda name=name, util=util: abs(planner.endpoints[name].busy - util) < 0.05, f"{name}'s load")
     finally:
-        pilot.wanted = "stop"
+        pilot.stops = True
         thread.join(live.WAIT_S)
         discovery.close()
         for endpoint in endpoints.values():
