A limit that was not told holds nothing back, and a fleet without a warm endpoint is used

Found in reading for other customers' settings. `push` and `bind` took an absent figure as a limit of 0: without `channelRate` or `stopSendingWithin` the room for ordinary changes was 0 (`send`, `grace`), so no table ever moved with Q; without `lateMost` the window for joins was 0 (`bind`), one proxy a receipt. Both are now without limit where nothing is told, and worked out once at the start.

`weights` left the warm endpoints alone while any proxy joined, also where there was none: the tables were then empty, and what stood in them was withdrawn at every proxy. It now waits for warm ones only where there are some; the cap of a cold one by its age stays.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -118,6 +118,9 @@
         # When a proxy went or came with another pilot's orders, when one came so; next wake; last push.
         self.moved_ms = self.joined_ms = self.wake_ms = self.pushed_ms = float("-inf")
         self.room = facts.lines_waiting_most or float("inf")
+        # Lines that drains may wait behind, and that receipts lag behind; without limit where none is told.
+        self.grace = GRACE * facts.drain_grace_ms * facts.channel_rate / 1000.0 or float("inf")
+        self.lag = facts.channel_rate * facts.order_late_most_ms / 1000.0 or float("inf")
         self.written = self.left = 0.0  # lines that went into the channel, and that are taken to have left it
         self.proven = 0.0  # the last of these that a receipt has told of, at `counted_ms`
         self.serial = 0
@@ -292,7 +295,8 @@
         full = self.strain > (TARGET if self.fit == 1.0 else IDLE) or self.slowness > SLOW
         # In a storm a cold one gets all that avoids others; it is told by load or, as on h8c6833, by tries
         # that fail or are late.  Tables before a join give a cold one its full part.
-        if joining or warm and (moving or not self.unit or full):
+        # Where none is warm there is nothing to wait behind: a table without lines would leave proxies bare.
+        if warm and (joining or moving or not self.unit or full):
             usable = warm
         weights = {e: (mean_q if r.q is None else r.q) * (r.listed or 1.0) for e, r in usable.items()}
         mean = sum(weights[e] for e in warm or usable) / max(1, len(warm or usable))
@@ -470,8 +474,7 @@
         messages = bound if lines else 0
         taken = self.written - self.left + self.facts.lines_per_message * joined
         # Found as hd47e6d: a mass of drains went behind changes; these take a part of its grace at most.
-        grace = GRACE * self.facts.drain_grace_ms * self.facts.channel_rate / 1000.0
-        ordinary = min(ORDINARY * self.room, grace) * (1.0 if bound == joined else 0.5)  # joins go first
+        ordinary = min(ORDINARY * self.room, self.grace) * (1.0 if bound == joined else 0.5)  # joins go first
         for rank, endpoint, moves, out in sorted(self.changes(now, wanted), key=lambda change: change[0]):
             record = self.endpoints[endpoint]
             cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
@@ -545,7 +548,7 @@
         gone = {endpoint for endpoint, record in self.endpoints.items() if record.withdrawn}
         pieces = [number for _, number in unbound if gone and self.bare(self.proxies[number], gone)]
         # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
-        window = min(JOINS * self.room, self.facts.channel_rate * self.facts.order_late_most_ms / 1000.0)
+        window = min(JOINS * self.room, self.lag)
         size, messages = self.facts.standing if pieces else len(self.endpoints), 0  # about what a join writes
         for number in pieces or [number for _, number in unbound]:
             if self.left < self.written and self.written - self.left + size > window:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -476,3 +476,23 @@
         pilot.turn(sums=sums, arrivals=[(place, n, 5, 0, 1000.0) for n in range(40) for place in (0, 1)])
         assert pilot.planner.fit == 1.0, turn
     assert pilot.planner.unit == pytest.approx(400.0 / 0.72 / 10 / 40, rel=0.1)
+
+
+@pytest.mark.parametrize("absent", [{"channel_rate": 0.0}, {"drain_grace_ms": 0.0}, {"order_late_most_ms": 0.0}])
+def test_a_limit_that_was_not_told_holds_nothing_back(absent):
+    """Counted as 0 they let no ordinary change and, at a join, one proxy at a time into the channel."""
+    pilot = Pilot(facts(**absent), entries=[entry(at) for at in range(1, 11)], proxies=6)
+    assert sum(order[0] == "bind" for order in pilot.first) == 6
+    pilot.settle()
+    pilot.turn(receipts=list(pilot.planner.receipts))
+    pilot.record(1).q *= 2.0
+    pilot.turn()
+    assert any(order[:3] == ("line", 0, 1) for order in pilot.orders)
+
+
+def test_proxies_that_join_a_fleet_without_a_warm_endpoint_are_not_left_bare():
+    cold = [entry(at, started=900.0) for at in range(1, 11)]
+    pilot = Pilot(facts(), entries=cold)
+    assert len(pilot.slots()) == 10 and not any(order[0] == "withdraw" for order in pilot.first)
+    pilot.turn(streams=[(2, True, "a", 10.0, False)])
+    assert len(pilot.slots()) == 10 and not any(order[0] == "withdraw" for order in pilot.orders)
