Crossings at streams, watch, probes, settings and signals, each forced by a test

Zones and classes are taken from the file's lists; a class list is checked (lanes as an object with a count of 10^9 was believed), times may have fractions, addresses are figures with a port that can be (99999 and a..b passed the pattern and ended the watch's thread), nesting is one sentence.

`Poller.serve` let any exception of a handler end the one poller thread (a way in: `t` as a list, looked up in a dict by `FrameFront.report`); the watch died of OverflowError and UnicodeError; a prober of TypeError, OverflowError and RecursionError in `load_of`. Now what comes from a peer costs it alone, a fault of ours ends its connection or answer with a traceback, and a thread that can't go on ends the process with status 70 (`platform/__main__.py`).

Good lines moved the revision past a spoilt entry, which was never asked for again: it is owed until the first line of a watch or a whole list holds it. Deadlines count as a whole (`net/http.py`): `max(0.001, ...)` gave each read a further millisecond.

Two streams of a proxy that waited together were taken in the order of descriptors, and the newer was ended: now the one that dialled later stands. 16 strangers at most where proxies outnumber descriptors cut off joinings in pieces after a kill: they may use what is free. The second of grace ended one whose joining waited to be read. EMFILE without a stranger let the loop spin. A poller that had ended closed the descriptor it is woken by.

Probes: `ask` marked after it put, and a quick answer left the endpoint marked for good. Signals: handlers stand before the imports; SIGHUP in between ended the process.

Ruled out, with a test: an old stream's end after the new joining, also in another zone; a joining that comes with its end; an order to a stream whose end waits; changes that go back, a whole list in mid-watch or with a lower revision; two moves in a row while a dial or an answer hangs; a drain at the new address before its whole list; signals between any two lines of a start; dials between SIGTERM and the end. Ruled out by reading: a `send` that returns False is followed by the stream's end in every case (`finish` always calls `closed`); marks are at most 64 a proxy and go with its stream; a descriptor taken again within one pass is read without waiting.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test install clean
+.PHONY: demo test install clean site-files
 
 demo: $(STAMP)
 	$(PYTHON) -m quillstep.cli --log-level warning day examples/days/bad-day.cue --record .day
@@ -21,5 +21,10 @@
 	$(VENV)/bin/pip -q install --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
+# The bench wants its own files beside a site: `make site-files KIT=FOLDER` lays them from a folder that has them.
+site-files:
+	@test -n "$(KIT)" || { echo "KIT=FOLDER names no folder with wire.json, real.json and unlock.txt"; exit 1; }
+	cp $(KIT)/wire.json $(KIT)/real.json $(KIT)/unlock.txt deploy/sites/
+
 clean:
 	rm -rf $(VENV) .day
--- a/quillstep/facts.py
+++ b/quillstep/facts.py
@@ -27,7 +27,8 @@
 
 
 def ms(found: dict[str, str], key: str) -> float:
-    return whole(found, key) / 1000.0
+    """A time in microseconds, with fractions where a settings file has them."""
+    return number(found, key) / 1000.0
 
 
 def yes(found: dict[str, str], key: str) -> bool:
--- a/quillstep/frames/check.py
+++ b/quillstep/frames/check.py
@@ -36,6 +36,12 @@
     return value
 
 
+def kind(fields: dict[str, Any]) -> str:
+    """What a message says it is; empty where that is no text, which could be a list or an object."""
+    name = fields.get("t")
+    return name if type(name) is str else ""
+
+
 def count(value: Any) -> bool:
     return type(value) is int and 0 <= value <= COUNT_MOST
 
--- a/quillstep/frames/front.py
+++ b/quillstep/frames/front.py
@@ -60,7 +60,7 @@
         if kind == "broken":
             peer.stop(what)
             return
-        name = what.get("t")
+        name = check.kind(what)
         if name == "hb":
             peer.send(0, ALIVE)
             return
@@ -75,7 +75,7 @@
             else:
                 peer.stop(str(trouble))
 
-    def start(self, peer: Served, name: Any, fields: dict[str, Any]) -> None:
+    def start(self, peer: Served, name: str, fields: dict[str, Any]) -> None:
         if name == "attach":
             proxy, zone, usual, fresh = check.joining(fields, self.known)
             self.proxies[peer] = proxy
@@ -90,7 +90,7 @@
             raise Spoilt("it began without joining")
         peer.codec.started = True
 
-    def report(self, peer: Served, name: Any, fields: dict[str, Any]) -> None:
+    def report(self, peer: Served, name: str, fields: dict[str, Any]) -> None:
         if name not in REPORTS:
             raise Spoilt("its kind is none that a pilot is sent here")
         REPORTS[name](self, peer, fields)
@@ -127,7 +127,7 @@
             self.ended[reason] += 1
 
 
-REPORTS: dict[Any, Callable[[FrameFront, Served, dict[str, Any]], None]] = {
+REPORTS: dict[str, Callable[[FrameFront, Served, dict[str, Any]], None]] = {
     "upstream_stats": FrameFront.sums,
     "client_stats": FrameFront.usage,
     "done": FrameFront.receipt,
--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -80,8 +80,9 @@
 class Served:
     """One connection.  `send`, `with_connection`, `unsent`, `stop` may be called from any thread and never block."""
 
-    def __init__(self, poller: "Poller", sock: socket.socket, codec: Any) -> None:
+    def __init__(self, poller: "Poller", sock: socket.socket, codec: Any, order: int) -> None:
         self.poller, self.sock, self.codec = poller, sock, codec
+        self.order = order  # its place among all that were accepted: of two, the later dialled later
         self.lock = threading.Lock()
         self.out = bytearray()  # what the socket has not taken yet; the poller's thread alone touches it
         self.begun_ms = self.heard_ms = self.pinged_ms = self.written_ms = now_ms()
@@ -161,11 +162,15 @@
         # Other descriptors; False from one of these ends the poller.
         self.inputs: dict[int, Callable[[], bool]] = {}
         self.touched: deque[Served] = deque()
-        self.waker, self.woken = os.pipe()
+        self.waker, woken = os.pipe()
         os.set_blocking(self.waker, False)
-        os.set_blocking(self.woken, False)
+        os.set_blocking(woken, False)
+        # Closed with this object: who wakes a poller that has ended must not write to another's descriptor.
+        self.woken = os.fdopen(woken, "wb", buffering=0)
         self.awake = False
         self.ending = threading.Event()
+        self.accepted = 0
+        self.accepting = True  # False: no descriptor is left, the listener is left alone until the next look
         self.tended_ms = now_ms()
         self.refused_ms = float("-inf")
         self.read_s = 0.0  # processor time spent on sockets and streams
@@ -185,7 +190,7 @@
         if not self.awake:
             self.awake = True
             with contextlib.suppress(OSError):
-                os.write(self.woken, b"x")
+                self.woken.write(b"x")
 
     def end(self) -> None:
         """End all connections and the poller's thread, after what can be sent at once."""
@@ -227,7 +232,6 @@
             peer.stopping = peer.stopping or "the pilot stops"
             self.look_at(peer)
         os.close(self.waker)
-        os.close(self.woken)
 
     def accept(self) -> None:
         """Take what waits, up to a number; the rest at the next pass, after a look at the others."""
@@ -239,9 +243,16 @@
             except OSError as trouble:
                 if trouble.errno in FULL and not self.give_up_a_stranger():
                     self.refuse("no descriptor is left")
+                    self.listen_on(False)
                 return
             self.take_in(sock)
 
+    def listen_on(self, accepting: bool) -> None:
+        """Look at the listener or not: one whose connections can't be taken would wake the poller all the time."""
+        if self.accepting != accepting:
+            self.accepting = accepting
+            self.poll.modify(self.listener, READ if accepting else 0)
+
     def take_in(self, sock: socket.socket) -> None:
         limits = self.limits
         sock.settimeout(None)
@@ -252,7 +263,8 @@
         while len(self.strangers) >= limits.strangers_most:
             self.give_up_a_stranger()
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        peer = Served(self, sock, self.codec())
+        self.accepted += 1
+        peer = Served(self, sock, self.codec(), self.accepted)
         self.peers[sock.fileno()] = self.strangers[sock.fileno()] = peer
         self.poll.register(sock, READ)
         self.look_at(peer)
@@ -270,15 +282,24 @@
         dials anew.
         """
         while self.strangers:
-            peer = next(iter(self.strangers.values()))
-            if not peer.gone:
-                self.serve(peer, READ)
-            self.settle(peer)
-            if not peer.started:
-                self.finish(peer, "too many connections have not started")
+            if self.give_up(next(iter(self.strangers.values())), "too many connections have not started"):
                 return True
         return False
 
+    def give_up(self, stranger: Served, reason: str) -> bool:
+        """End a connection that has not started, after a last look at what it has sent; False if that starts it.
+
+        Found in reading: after a pause of the process its time was over while its start waited to be read.
+        """
+        self.serve(stranger, READ)
+        self.settle(stranger)
+        if stranger.gone:
+            return True
+        if stranger.started:
+            return False
+        self.finish(stranger, reason)
+        return True
+
     def settle(self, peer: Served) -> None:
         """One that has started is no stranger any more."""
         if peer.started:
@@ -302,9 +323,17 @@
             except OSError as trouble:
                 self.finish(peer, peer.stopping or type(trouble).__name__)
                 return
+            except Exception as trouble:
+                self.fail(peer, trouble)
+                return
         if not peer.gone:
             self.look_at(peer)
 
+    def fail(self, peer: Served, trouble: Exception) -> None:
+        """A fault of ours while a connection was served: it ends that one, with its traceback, and not the thread."""
+        self.log.error("a connection met a fault of ours", exc_info=trouble)
+        self.finish(peer, f"{type(trouble).__name__}: {trouble}")
+
     def take(self, peer: Served, data: bytes) -> None:
         peer.heard_ms = now_ms()
         with peer.lock:
@@ -332,8 +361,8 @@
         except OSError:
             self.finish(peer, peer.stopping or "the connection broke")
             return
-        except Exception as trouble:  # a broken protocol state must end this connection, not the thread
-            self.finish(peer, f"{type(trouble).__name__}: {trouble}")
+        except Exception as trouble:
+            self.fail(peer, trouble)
             return
         if peer.stopping:
             self.finish(peer, peer.stopping)
@@ -381,13 +410,16 @@
         """Time limits, pings, and budgets that come back."""
         now = self.tended_ms = now_ms()
         limits = self.limits
+        self.listen_on(True)
         for peer in list(self.peers.values()):
+            if peer.gone:
+                continue
             held = peer.budget < 0
             back = (now - peer.counted_ms) * limits.messages_per_s / 1000.0
             peer.budget = min(limits.messages_per_s, peer.budget + back)
             peer.counted_ms = now
             if not peer.started and now - peer.begun_ms > limits.handshake_ms:
-                self.finish(peer, "no request came in time")
+                self.give_up(peer, "no request came in time")
             elif peer.out and now - peer.written_ms > limits.write_ms:
                 self.finish(peer, "it takes no bytes")
             elif peer.started and not peer.holds and now - peer.heard_ms > self.silent_ms:
--- a/quillstep/pilot/probes.py
+++ b/quillstep/pilot/probes.py
@@ -4,10 +4,8 @@
 """
 
 import base64
-import binascii
 import math
 import queue
-import socket
 import threading
 import time
 from collections.abc import Callable
@@ -15,6 +13,9 @@
 
 import h11
 import msgspec
+import structlog
+
+from quillstep.net.http import get
 
 HEADER = "endpoint-load-metrics"
 ANSWER_MOST = 16 * 1024
@@ -36,9 +37,9 @@
             pairs = (body if kind == "TEXT" else header).split(",")
             split = (pair.partition("=") for pair in pairs)
             found = {name.strip(): float(value) for name, equals, value in split if equals}
-    except (ValueError, AttributeError, binascii.Error, msgspec.DecodeError):
+        clean = {name.removeprefix("named_metrics."): float(value) for name, value in found.items()}
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError):
         return {}
-    clean = {name.removeprefix("named_metrics."): value for name, value in found.items()}
     return {NAMES.get(name, name): value for name, value in clean.items() if math.isfinite(value)}
 
 
@@ -57,35 +58,12 @@
 
 def check(host: str, port: int, timeout_ms: float, path: str = "/health") -> tuple[bool, dict[str, float]]:
     """Ask one endpoint; whether it answered well, and its load, from the header or else the body."""
-    until = time.monotonic() + timeout_ms / 1000.0
-    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=ANSWER_MOST)
-    request = h11.Request(method="GET", target=path, headers=[("Host", host), ("Connection", "close")])
     try:
-        with socket.create_connection((host, port), timeout_ms / 1000.0) as sock:
-            sock.sendall(http.send(request) + http.send(h11.EndOfMessage()))
-            return read_answer(http, sock, until)
-    except (OSError, h11.RemoteProtocolError):
+        answer = get((host, port), path, time.monotonic() + timeout_ms / 1000.0, ANSWER_MOST)
+    except (OSError, h11.ProtocolError):
         return False, {}
-
-
-def read_answer(http: h11.Connection, sock: socket.socket, until: float) -> tuple[bool, dict[str, float]]:
-    """Raises OSError or h11.RemoteProtocolError; a body that says more than a load report needs is left."""
-    status, raw, body = 0, "", b""
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            sock.settimeout(max(0.001, until - time.monotonic()))
-            http.receive_data(sock.recv(4096))
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-            raw = dict(event.headers).get(HEADER.encode(), b"").decode("latin-1")
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-            if len(body) > ANSWER_MOST:
-                return False, {}
-        elif not isinstance(event, h11.InformationalResponse):
-            break
-    return status == 200, load_of(raw or body.decode("latin-1"))
+    raw = answer.headers.get(HEADER.encode(), b"") or answer.body
+    return answer.status == 200, load_of(raw.decode("latin-1"))
 
 
 class Prober:
@@ -97,22 +75,31 @@
         self.timeout_ms, self.put, self.path = timeout_ms, put, path
         self.wanted: queue.Queue[tuple[Any, str, int]] = queue.Queue(1024)
         self.asked: set[Any] = set()
+        self.log = structlog.get_logger("probes")
         for _ in range(threads):
             threading.Thread(target=self.work, daemon=True).start()
 
     def ask(self, endpoint: Any, host: str, port: int) -> None:
         if endpoint in self.asked:
             return  # one that takes long is not asked twice at once
+        self.asked.add(endpoint)  # first: a thread that has its answer at once takes it out again
         try:
             self.wanted.put_nowait((endpoint, host, port))
-            self.asked.add(endpoint)
         except queue.Full:
-            pass
+            self.asked.discard(endpoint)
 
     def work(self) -> None:
         while True:
             endpoint, host, port = self.wanted.get()
             begun = time.monotonic()
-            answered, load = check(host, port, self.timeout_ms, self.path)
+            answered, load = self.answer(host, port)
             self.asked.discard(endpoint)
             self.put(("probe", endpoint, answered, (time.monotonic() - begun) * 1000.0, load))
+
+    def answer(self, host: str, port: int) -> tuple[bool, dict[str, float]]:
+        """A fault of ours with one answer costs that answer, not the thread: a dozen such, and health is blind."""
+        try:
+            return check(host, port, self.timeout_ms, self.path)
+        except Exception:
+            self.log.exception("a probe met a fault of ours", host=host, port=port)
+            return False, {}
--- a/quillstep/platform/__main__.py
+++ b/quillstep/platform/__main__.py
@@ -3,47 +3,80 @@
 import os
 import signal
 import sys
+import threading
 from types import FrameType
+from typing import TYPE_CHECKING
 
-from quillstep import logs
-from quillstep.platform import record
-from quillstep.platform.record import Fault
-from quillstep.platform.service import LivePilot
+if TYPE_CHECKING:
+    from quillstep.platform.service import LivePilot
 
+FAULT = 70  # the status of a process that ends by a fault of ours
 
-def tell(pilot: LivePilot, came: set[int]) -> None:
-    """Only ever set, so that no signal is lost to another that comes in between."""
+
+class Signals:
+    """Only ever sets what is wanted, so that no signal is lost to another that comes in between; the loop does it."""
+
+    def __init__(self) -> None:
+        self.came: set[int] = set()
+        self.pilot: LivePilot | None = None
+
+    def take(self, number: int, frame: FrameType | None) -> None:
+        self.came.add(number)
+        if self.pilot:
+            tell(self.pilot, {number})
+
+    def hand_over(self, pilot: "LivePilot") -> None:
+        """From now on to this pilot, and to it what came before."""
+        self.pilot = pilot
+        tell(pilot, self.came)
+
+
+def tell(pilot: "LivePilot", came: set[int]) -> None:
     if signal.SIGTERM in came:
         pilot.stops = True
     if signal.SIGHUP in came:
         pilot.reloads = True
 
 
-def main() -> int:
-    came: set[int] = set()
-    pilot: LivePilot | None = None
+def end_with_thread(ended: threading.ExceptHookArgs) -> None:
+    """A thread that can't go on takes the process with it: one that lives on without it would serve nobody."""
+    import structlog
+
+    name = ended.thread.name if ended.thread else "unknown"
+    trouble = (ended.exc_type, ended.exc_value, ended.exc_traceback)
+    structlog.get_logger("pilot").critical("a thread ended by a fault of ours", thread=name, exc_info=trouble)
+    sys.stderr.flush()
+    os._exit(FAULT)
 
-    def on_signal(number: int, frame: FrameType | None) -> None:
-        """Only say what is wanted: the loop does it."""
-        came.add(number)
-        if pilot:
-            tell(pilot, {number})
 
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGHUP, on_signal)
+def main() -> int:
+    signals = Signals()
+    # Before all that takes long to import: SIGHUP would end a process that has not said otherwise.
+    signal.signal(signal.SIGTERM, signals.take)
+    signal.signal(signal.SIGHUP, signals.take)
+    from quillstep import logs
+    from quillstep.platform import record
+    from quillstep.platform.service import LivePilot
+
     logs.set_up("json", "info")
+    threading.excepthook = end_with_thread
     try:
         found = record.read()
         facts = record.pilot_facts(found, os.environ[record.FILE])
         pilot = LivePilot(found, facts)
-    except Fault as trouble:
+    except record.Fault as trouble:
         print(f"quillstep: {trouble}.", file=sys.stderr)
         return 1
     except OSError as trouble:
         print(f"quillstep: it can't listen at {found.listen}: {trouble.strerror or trouble}.", file=sys.stderr)
         return 1
-    tell(pilot, came)  # what came before there was a pilot
-    pilot.run(record.read)
+    signals.hand_over(pilot)
+    try:
+        pilot.run(record.read)
+    except Exception as trouble:
+        pilot.log.critical("the deciding thread ended by a fault of ours", exc_info=trouble)
+        sys.stderr.flush()
+        os._exit(FAULT)
     sys.stderr.flush()
     os._exit(0)  # threads that wait for others' sockets must not hold up the end
 
--- a/quillstep/platform/endpoints.py
+++ b/quillstep/platform/endpoints.py
@@ -1,11 +1,16 @@
 """Lists of endpoints in discovery's words, read entry by entry.  Without I/O."""
 
-import math
+import re
+import socket
 from typing import Any, NamedTuple
 
 PHASES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
 
 
+FIGURE_MOST = 10**15  # of a size, a time or a revision; beyond it a sum of ours could overflow
+ADDRESS = re.compile(r"([0-9.]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+
+
 class Unreadable(Exception):
     """What discovery sent is no list."""
 
@@ -18,11 +23,13 @@
     addresses: dict[str, tuple[str, int]]
     revision: int
     spoilt: list[str]  # why entries were left out
+    whole: bool  # whether it was told as the whole list; with a spoilt entry its kind is partial all the same
 
 
 def read_list(told: Any, offset_ms: float, kind: str = "") -> News:
     """Raises Unreadable.  A spoilt entry is left out; a list with one is not whole: what it lacks is not gone."""
-    if not isinstance(told, dict) or type(told.get("revision")) is not int or told["revision"] < 0:
+    revision = told.get("revision") if isinstance(told, dict) else None
+    if type(revision) is not int or not 0 <= revision <= FIGURE_MOST:
         raise Unreadable("a list without a revision")
     if not isinstance(told.get("members"), list) or type(told.get("complete")) is not bool:
         raise Unreadable("a list without its members, or that does not say whether it is complete")
@@ -35,8 +42,24 @@
             continue
         entries.append(entry)
         addresses[entry[0]] = address
-    whole = told["complete"] and not spoilt
-    return News(kind or ("complete" if whole else "partial"), entries, addresses, told["revision"], spoilt)
+    found = "complete" if told["complete"] and not spoilt else "partial"
+    return News(kind or found, entries, addresses, revision, spoilt, told["complete"])
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """A host in figures and a port; raises ValueError.
+
+    The platform has no DNS: a name would keep a thread at its look-up beyond any deadline.
+    """
+    found = ADDRESS.fullmatch(text)
+    if not found or int(found[2]) > 65535:
+        raise ValueError("it is no address")
+    host = found[1].strip("[]")
+    try:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except OSError:
+        raise ValueError("it is no address") from None
+    return host, int(found[2])
 
 
 def read_entry(member: Any, offset_ms: float) -> tuple[tuple, tuple[str, int]]:
@@ -46,17 +69,18 @@
     for name in ("id", "locality", "phase", "host_port"):
         if type(member.get(name)) is not str or not member[name]:
             raise ValueError(f"{name} is missing or no text")
-    host, _, port = member["host_port"].rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError("host_port is no address")
+    try:
+        address = address_of(member["host_port"])
+    except ValueError as trouble:
+        raise ValueError(f"host_port: {trouble}") from None
     if member["phase"] not in PHASES:
         raise ValueError("phase is none that is known")
     size, up_ms = member.get("size", 1.0), member.get("up_since_ms", 0)
     for name, value in (("size", size), ("up_since_ms", up_ms)):
-        if type(value) not in (int, float) or not math.isfinite(value) or value < 0:
+        if type(value) not in (int, float) or not 0 <= value <= FIGURE_MOST:
             raise ValueError(f"{name} is no number that it can be")
     entry = (
         member["id"], member["locality"], PHASES[member["phase"]], float(size),
         up_ms + offset_ms if up_ms else 0.0,
     )  # fmt: skip
-    return entry, (host.strip("[]"), int(port))
+    return entry, address
--- a/quillstep/platform/record.py
+++ b/quillstep/platform/record.py
@@ -14,9 +14,9 @@
 from quillstep.facts import ms, start_facts, whole
 from quillstep.frames.check import Known
 from quillstep.interface import StartFacts
+from quillstep.platform.endpoints import address_of
 
 Text = Annotated[str, msgspec.Meta(min_length=1)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^[^ :]+:\d{1,5}$")]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 PROBE_DIALS = 1.6  # times that proxies wait for a connection that a probe may take as a whole
 PROBE_MS = 500.0  # the same where the settings don't tell how long proxies wait
@@ -47,8 +47,8 @@
     """The file; fields that are not named here are left alone."""
 
     name: Text
-    listen: Address
-    discovery: Address
+    listen: Text
+    discovery: Text
     settings: dict[str, Any]
     seed: Text
     limits: LimitsRecord = LimitsRecord()
@@ -111,9 +111,16 @@
             if field not in told and environment.get(variable):
                 told[field] = environment[variable]
     try:
-        return msgspec.convert(told, PlatformRecord)
+        record = msgspec.convert(told, PlatformRecord)
     except msgspec.ValidationError as trouble:
         raise Fault(f"{path}: {trouble}{found(told, str(trouble))}") from None
+    for field in ("listen", "discovery"):
+        try:
+            address_of(getattr(record, field))
+        except ValueError:
+            what = f"Expected an address in figures with its port - at `$.{field}`"
+            raise Fault(f"{path}: {what}{found(told, what)}") from None
+    return record
 
 
 def found(told: Any, trouble: str) -> str:
@@ -128,33 +135,43 @@
 
 def pilot_facts(record: PlatformRecord, path: str) -> PilotFacts:
     """The settings in the pilot's words; raises Fault."""
-    settings = flat(record.settings)
-    for name, expected in (
-        ("lanes.count", "a list of classes"),
-        ("zones", "names of zones"),
-        ("specifics.dataPlaneSize", "a number of proxies above 0"),
-    ):
-        if settings.get(name, "") in ("", "0"):
-            where = f"$.settings.{name.removesuffix('.count')}"
-            raise Fault(f"{path}: Expected {expected}, found {settings.get(name) or 'nothing'} - at `{where}`")
+    zones = texts(record.settings.get("zones"), "names of zones", "$.settings.zones", path)
+    lanes = record.settings.get("lanes")
+    names = [lane.get("name") if isinstance(lane, dict) else None for lane in lanes] if isinstance(lanes, list) else []
+    classes = texts(names, "a list of classes", "$.settings.lanes", path)
     try:
-        start, classes = start_facts(settings)
+        settings = flat(record.settings)
+        start, _ = start_facts(settings)
+        # As the file tells them: a name may hold what joins names and paths in a start.
+        start.zones = zones
         cut_off_ms = max(ms(settings, f"lanes.{place}.giveUp") for place in range(len(classes)))
-        known = Known(
-            whole(settings, "specifics.dataPlaneSize"),
-            frozenset(start.zones),
-            {name: place for place, name in enumerate(classes)},
-            cut_off_ms or float("inf"),
-        )
+        proxies = whole(settings, "specifics.dataPlaneSize")
         dial_ms, tick_ms = ms(settings, "allowed.dialTimeout"), ms(settings, "tick")
     except ValueError as trouble:
         raise Fault(f"{path}: Expected a number, found {trouble} - at `$.settings`") from None
+    except RecursionError:
+        raise Fault(f"{path}: Expected settings, found what is nested beyond sense - at `$.settings`") from None
+    if proxies <= 0:
+        at = "$.settings.specifics.dataPlaneSize"
+        raise Fault(f"{path}: Expected a number of proxies above 0, found {proxies or 'nothing'} - at `{at}`")
+    known = Known(
+        proxies, frozenset(zones), {name: place for place, name in enumerate(classes)}, cut_off_ms or float("inf")
+    )
     return PilotFacts(
         start, classes, known, tick_ms, PROBE_DIALS * dial_ms or PROBE_MS,
         "/status/load" if start.load_by_probe else "/health",
     )  # fmt: skip
 
 
+def texts(told: Any, expected: str, at: str, path: str) -> list[str]:
+    """Names, each once; raises Fault."""
+    if not isinstance(told, list) or not told:
+        raise Fault(f"{path}: Expected {expected}, found nothing - at `{at}`")
+    if not all(type(name) is str and name for name in told) or len(set(told)) < len(told):
+        raise Fault(f"{path}: Expected {expected}, each a text and there once - at `{at}`")
+    return told
+
+
 def seed_of(text: str) -> int:
     """A seed as told, hexadecimal mostly."""
     try:
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -32,15 +32,17 @@
 SAY_MS = 5000.0
 PROBERS = 12
 OWN = 24  # descriptors for the log, the watch, the listener and what the interpreter opens; probes come on top
-STRANGERS_MOST = 256
 FORGET_PERIODS = 30.0  # report periods after which sums of an endpoint that has gone are of no interest
 
 
 def limits_of(record: PlatformRecord, facts: PilotFacts) -> FrameLimits:
-    """All proxies must find room beside strangers; these get what is left."""
+    """Who has not joined may use all that is free, and gives way to who comes.
+
+    Found in reading: with more proxies than descriptors only 16 were let wait, and after a kill, when all dial at
+    once, one whose joining came in pieces was cut off beside free descriptors.
+    """
     most = record.limits.sockets - OWN - PROBERS
-    joined = facts.known.proxies + 2 * len(facts.known.zones)
-    return FrameLimits(most, max(16, min(STRANGERS_MOST, most - joined)))
+    return FrameLimits(most, most)
 
 
 class LivePilot:
@@ -65,7 +67,11 @@
         self.written = self.written_bytes = 0
         self.said_ms = now_ms()
         self.front = FrameFront(record.listen, limits_of(record, facts), facts.known, self.bring)
-        self.watch = Watch(record.discovery, record.known.revision, self.offset_ms, self.bring)
+        known = {"revision": record.known.revision, "complete": True, "members": record.known.members}
+        self.first = read_list(known, self.offset_ms, "persisted")
+        self.watch = Watch(
+            record.discovery, record.known.revision, self.offset_ms, self.bring, owed=bool(self.first.spoilt)
+        )
         self.prober = Prober(PROBERS, facts.probe_ms, self.bring, facts.probe_path)
 
     # from other threads
@@ -77,8 +83,7 @@
 
     def run(self, reload: Callable[[], PlatformRecord]) -> None:
         """Decide until a signal asks to stop."""
-        known = {"revision": self.record.known.revision, "complete": True, "members": self.record.known.members}
-        self.take_list(read_list(known, self.offset_ms, "persisted"))
+        self.take_list(self.first)
         self.rounds.heard(now_ms() - self.facts.tick_ms)
         threading.Thread(target=self.front.poller.run, daemon=True).start()
         self.watch.start()
@@ -131,6 +136,9 @@
 
     def take_join(self, peer: Served, proxy: int, zone: str, usual: float, fresh: bool) -> None:
         if before := self.at.get(proxy):  # it has dialled anew before its old stream was seen to end
+            if before.order > peer.order:  # both waited to be read, and the newer was read first
+                peer.stop("its proxy dialled anew")
+                return
             self.take_leave(before, proxy)
             before.stop("its proxy dialled anew")
         self.at[proxy] = peer
@@ -190,6 +198,9 @@
         except Fault as trouble:
             self.log.error("configuration kept", reason=str(trouble))
             return
+        except Exception as trouble:  # a fault of ours with what stands there must not end a pilot that serves
+            self.log.exception("configuration kept", reason=f"{type(trouble).__name__}: {trouble}")
+            return
         kept = [name for name in ("name", "listen", "settings") if getattr(record, name) != getattr(self.record, name)]
         self.watch.move(record.discovery)
         self.record = record
