Pieces of the calendar go before drains, and before all wait for it whole

"joined 349, unbound 349 ... 8, withdrawn 0": the calendar for all (111 lines each, 3,400 lines a second) takes 16 s. Ruled out: rounds (21 to 35 ms of processor time at most, 17 ms late), descriptors (1,690 of 2,176), streams that end (none of the three proxies' did), the platform's channel (marks come back in 0.6 to 1.0 s at full pace, as counted).

At fault in rules.py: `push` (drains first, joins with what is left), `bind` (pieces only where something is withdrawn), `send` (a withdrawal counted at every proxy, also at those whose piece lacks the endpoint).

The tests' channel charged a withdrawal at every proxy; WIRE says "one line at each proxy holding a table with that endpoint", and it is replaced by that count, with the messages' way out beside it. The tests of this change failed on the module before and with each of the four parts taken out by itself.

--- a/quillstep/rules.py
+++ b/quillstep/rules.py
@@ -15,6 +15,7 @@
   6. starting over  every start begins clean, asks for the list and binds each proxy as it joins
 """
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from random import Random
@@ -118,8 +119,8 @@
         # When a proxy went or came with another pilot's orders, when one came so; next wake; last push.
         self.moved_ms = self.joined_ms = self.wake_ms = self.pushed_ms = float("-inf")
         self.room = facts.lines_waiting_most or float("inf")
-        # Lines that drains may wait behind, and that receipts lag behind; without limit where none is told.
-        self.grace = GRACE * facts.drain_grace_ms * facts.channel_rate / 1000.0 or float("inf")
+        # Lines that leave within the grace for drains, and that receipts lag behind; no limit where none is told.
+        self.grace = facts.drain_grace_ms * facts.channel_rate / 1000.0 or float("inf")
         self.lag = facts.channel_rate * facts.order_late_most_ms / 1000.0 or float("inf")
         self.written = self.left = 0.0  # lines that went into the channel, and that are taken to have left it
         self.proven = 0.0  # the last of these that a receipt has told of, at `counted_ms`
@@ -447,12 +448,16 @@
         crowded = self.written - self.left > JOINS * self.room
         # Found as hee13f4: deaths told one by one each took a message, and none was left for the last.
         gap = 1.2 * facts.messages_over_ms / facts.messages_most if facts.messages_most else 0.0
-        before, messages = self.written, 0
+        before, seekers = self.written, self.seekers()
+        messages = self.bind(seekers, True, orders)
         if (due or self.urgent) and not crowded and now >= self.pushed_ms + gap:
             self.urgent = False
-            messages = self.send(now, due, orders)
-            self.pushed_ms = now if messages else self.pushed_ms
-        messages += self.bind(orders)
+            sent = self.send(now, due, messages < len(seekers), orders)
+            self.pushed_ms = now if sent else self.pushed_ms
+            messages += sent
+        if not seekers:
+            unbound = [(sum(p.arrives), number) for number, p in self.proxies.items() if not p.bound]
+            messages += self.bind([number for _, number in sorted(unbound, reverse=True)], False, orders)
         waits = self.urgent or not all(proxy.bound for proxy in self.proxies.values())
         if waits and self.wake_ms <= now:
             self.wake_ms = now + 0.2 * TURN_MS
@@ -463,8 +468,11 @@
             self.receipts[self.serial] = [before, (self.written - before) / messages]
             orders.receipt(self.serial)
 
-    def send(self, now: float, due: bool, orders: Orders) -> int:
-        """Write the differences between what is wanted and what was sent; returns the messages they make."""
+    def send(self, now: float, due: bool, pieces: bool, orders: Orders) -> int:
+        """Write the differences between what is wanted and what was sent; returns the messages they make.
+
+        While `pieces` wait for the channel it takes no more than receipts lag behind.
+        """
         tables = self.tables()
         zones = [proxy.zone for proxy in self.proxies.values() if proxy.bound]
         users = {table: zones.count(zone) if zone else len(zones) for table, zone, _ in tables}
@@ -472,18 +480,27 @@
         wanted = {table: self.slots(now, zone) for table, zone, _ in tables}
         lines = sum(users[table] * self.send_levels(table, classes, orders) for table, _, classes in tables)
         messages = bound if lines else 0
+        # A piece of the calendar that lacks an endpoint needs no word of it.
+        unbound = [proxy.pieces for proxy in self.proxies.values() if not proxy.bound]
+        holders = Counter(endpoint for held in unbound for piece in held for endpoint in piece)
+        every, some = joined - sum(map(bool, unbound)), 0
+        most = self.lag if pieces else ALL * self.room
         taken = self.written - self.left + self.facts.lines_per_message * joined
         # Found as hd47e6d: a mass of drains went behind changes; these take a part of its grace at most.
-        ordinary = min(ORDINARY * self.room, self.grace) * (1.0 if bound == joined else 0.5)  # joins go first
+        ordinary = min(most, ORDINARY * self.room, GRACE * self.grace)
+        ordinary *= 1.0 if bound == joined else 0.5  # joins go first
         for rank, endpoint, moves, out in sorted(self.changes(now, wanted), key=lambda change: change[0]):
             record = self.endpoints[endpoint]
-            cost = sum(users[table] for table in moves) + joined * (out != record.withdrawn)
+            told = every + holders[endpoint] if out else joined
+            cost = sum(users[table] for table in moves) + told * (out != record.withdrawn)
             if cost and rank > MUST and not due:
                 continue
-            if taken + lines + cost > (ordinary if rank > MUST else ALL * self.room):
+            if taken + lines + cost > (ordinary if rank > MUST else most):
                 self.urgent |= rank <= MUST  # the rest comes soon
                 continue
-            messages = max(messages, joined if out != record.withdrawn else bound if cost else 0)
+            some += told - every if out != record.withdrawn else 0
+            reached = min(joined, every + some) if out != record.withdrawn else bound if cost else 0
+            messages = max(messages, reached)
             lines += cost
             for table, want in moves.items():
                 orders.line(table, endpoint, want)
@@ -538,19 +555,28 @@
                 lines += 1
         return lines
 
-    def bind(self, orders: Orders) -> int:
-        """Put joined proxies on the calendar, those that bring most first; the others keep what they hold.
+    def seekers(self) -> list[int]:
+        """Unbound proxies that get a piece of the calendar before all else, in the order they joined.
 
-        Found on i2d06fb and ia78055: many held none but dead endpoints after a zone loss or release.  One
-        that may have none left gets a piece of the calendar first; load is less even then.
+        Found on i2d06fb and ia78055: many held none but dead endpoints after a zone loss or release.  Found on
+        mass days: what a proxy came with may name endpoints that no list here tells of any more, and where the
+        calendar for all who wait, or drains told to each, fill the grace, that is used beyond it.
         """
-        unbound = sorted(((sum(p.arrives), n) for n, p in self.proxies.items() if not p.bound), reverse=True)
+        unbound = [number for number, proxy in self.proxies.items() if not proxy.bound]
+        gone = {endpoint for endpoint, record in self.endpoints.items() if record.withdrawn}
+        calendars = len(unbound) * (len(self.endpoints) + self.facts.lines_per_message)
+        usable = any(record.sent and not record.withdrawn for record in self.endpoints.values())
+        if not usable or not gone and calendars <= PACE * self.grace:
+            return []
+        return [number for number in unbound if self.bare(self.proxies[number], gone)]
+
+    def bind(self, numbers: list[int], pieces: bool, orders: Orders) -> int:
+        """Put joined proxies on the calendar, or on pieces of it; the others keep what they hold."""
         gone = {endpoint for endpoint, record in self.endpoints.items() if record.withdrawn}
-        pieces = [number for _, number in unbound if gone and self.bare(self.proxies[number], gone)]
         # What receipts lag behind at full pace, no more: a drain may have to wait behind it.
         window = min(JOINS * self.room, self.lag)
         size, messages = self.facts.standing if pieces else len(self.endpoints), 0  # about what a join writes
-        for number in pieces or [number for _, number in unbound]:
+        for number in numbers:
             if self.left < self.written and self.written - self.left + size > window:
                 break
             proxy = self.proxies[number]
@@ -561,7 +587,8 @@
                 held = [endpoint for endpoint, record in self.endpoints.items() if record.sent.get(table)]
                 own = PIECES + number * (1 + len(self.facts.zones)) + table if pieces else table
                 if pieces:
-                    usable = [endpoint for endpoint in held if endpoint not in gone]
+                    usable = [e for e in held if e not in gone]
+                    usable = [e for e in usable if self.endpoints[e].ready] or usable
                     step = max(1, len(usable) // max(1, self.facts.standing))
                     held = usable[number % step :: step]
                     for endpoint in (e for e in self.pieces.get(own, ()) if e not in held):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -81,13 +81,18 @@
 
     def __init__(self, pilot, pace):
         self.pilot, self.pace, self.queue, self.most, self.held = pilot, pace, [], 0.0, {}
+        self.users = {}  # by proxy, the table of each class
+        self.reached = {}  # by proxy, when its first table of ours left the channel
         self.take(pilot.first)
 
     def round(self, after, **incoming):
         room, receipts = self.pilot.facts.channel_rate * self.pace * after / 1000.0, []
         while self.queue and room >= self.queue[0][0]:
             room -= self.queue[0][0]
-            receipts.append(self.queue.pop(0)[1])
+            _, serial, number = self.queue.pop(0)
+            receipts.append(serial)
+            if number is not None:
+                self.reached.setdefault(number, self.pilot.now)
         if self.queue:
             self.queue[0][0] -= room
         self.take(self.pilot.round(after, receipts=receipts, **incoming))
@@ -102,11 +107,17 @@
             if order[0] == "bind":
                 held = sum(1 + self.pilot.record(endpoint).withdrawn for endpoint in self.held[order[2]])
                 joins[order[1]] = joins.get(order[1], 0) + 1 + len(order[3]) + held
-        toggles = sum(order[0] == "withdraw" for order in orders)
+                self.users.setdefault(order[1], {}).update(dict.fromkeys(order[3], order[2]))
+        toggles = [order[1] for order in orders if order[0] == "withdraw"]
         pieces = self.pilot.rules.PIECES
         changes = sum(order[0] in ("line", "level") and order[1] < pieces for order in orders)
         for number, proxy in self.pilot.planner.proxies.items():
-            cost = joins.get(number, changes if proxy.bound else 0) + toggles
+            # A withdrawal is a line at each proxy that holds a table with that endpoint; one without a table of ours
+            # may hold it, and one that is bound in this round is told with its table.
+            holds = {endpoint for table in self.users.get(number, {}).values() for endpoint in self.held[table]}
+            told = [endpoint for endpoint in toggles if number not in self.users or endpoint in holds]
+            cost = joins[number] if number in joins else (changes if proxy.bound else 0) + len(told)
             if cost:
-                self.queue.append([cost + 1 + self.pilot.facts.lines_per_message, orders[-1][1]])
-        self.most = max(self.most, sum(cost for cost, _ in self.queue))
+                lines = cost + 1 + self.pilot.facts.lines_per_message
+                self.queue.append([lines, orders[-1][1], number if number in joins else None])
+        self.most = max(self.most, sum(cost for cost, *_ in self.queue))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -420,7 +420,7 @@
     assert len(pilot.planner.endpoints) <= kept and 199 in pilot.planner.endpoints
     pilot.turn(lists=[("complete", [entry(at) for at in range(200, 206)])])
     pilot.planner.proxies[0].bound = False
-    pilot.planner.bind = lambda orders: 0
+    pilot.planner.bind = lambda numbers, pieces, orders: 0
     for _ in range(2 * pilot.rules.FORGETS):
         pilot.turn()
     assert 199 in pilot.planner.endpoints, "a proxy that is not on the calendar may still hold it"
@@ -496,3 +496,43 @@
     assert len(pilot.slots()) == 10 and not any(order[0] == "withdraw" for order in pilot.first)
     pilot.turn(streams=[(2, True, "a", 10.0, False)])
     assert len(pilot.slots()) == 10 and not any(order[0] == "withdraw" for order in pilot.orders)
+
+
+@pytest.mark.parametrize("drains", [True, False])
+def test_all_who_join_at_once_hold_a_table_of_ours_within_the_grace(drains):
+    """Found on mass days.
+
+    With drains (recife-pedidos, herd): told to each of 1,440 joined they filled the channel, and a proxy went on with
+    an endpoint for 9 s.  Without (cotizanet-mx, roll): the calendar for 349 filled it for 16 s, and one went on with an
+    endpoint that had left the list before its pilot started.
+    """
+    limits = facts(channel_rate=3000.0, lines_waiting_most=36000.0, drain_grace_ms=9000.0)
+    pilot = Pilot(limits, entries=[entry(at) for at in range(100)], proxies=20)
+    channel = Channel(pilot, 1.0)
+    for _ in range(30):
+        channel.round(100.0)
+    begun = pilot.now
+    for at in range(150):
+        streams = [(n, True, "b", 5.0, False) for n in range(20, 420)] if at == 0 else []
+        dead = range(4 * at // 5, 4 * at // 5 + 8) if drains and at % 10 == 0 and at <= 80 else ()
+        lists = [("partial", [entry(n, state="terminating") for n in dead])] if dead else []
+        channel.round(100.0, streams=streams, lists=lists)
+    late = [number for number in range(20, 420) if channel.reached.get(number, begun + 15000.0) - begun > 9000.0]
+    assert not late and channel.most <= limits.lines_waiting_most
+    assert all(pilot.record(n).withdrawn for n in range(72)) or not drains
+
+
+def test_a_withdrawal_counts_where_it_is_told_and_no_piece_holds_what_drains():
+    pilot = Pilot(facts(), entries=[entry(at) for at in range(40)], proxies=6)
+    for proxy in pilot.planner.proxies.values():
+        proxy.bound, proxy.pieces = False, [[0, 1, 2]]
+    pilot.planner.left = pilot.planner.written
+    written = pilot.planner.written
+    pilot.planner.take_list("partial", [entry(9, state="terminating")], pilot.now)
+    pilot.planner.send(pilot.now, False, False, pilot)
+    assert ("withdraw", 9, True) in pilot.orders and pilot.planner.written == written  # nobody holds it
+    pilot.planner.take_list("partial", [entry(at, state="terminating") for at in range(12)], pilot.now)
+    for proxy in pilot.planner.proxies.values():
+        proxy.pieces = []
+    pilot.planner.bind(list(pilot.planner.proxies), True, pilot)
+    assert all(piece and min(piece) >= 12 for proxy in pilot.planner.proxies.values() for piece in proxy.pieces)
