Of three collectors of a zone the one longest silent ends, not the oldest

`FrameFront.start` ended the oldest: two connections that only said they were the zone's collector ended the one that reports, and its sums were lost until it dialled anew. Bad input is to cost its sender alone. Test over loopback, which fails with the oldest; `figures` tells looks at the whole list and whether an entry is owed.

--- a/quillstep/frames/front.py
+++ b/quillstep/frames/front.py
@@ -84,7 +84,8 @@
             zone = check.zone(fields, self.known)
             same = [other for other, its in self.collectors.items() if its == zone]
             if len(same) >= COLLECTORS:
-                same[0].stop("its zone has newer collectors")
+                # The oldest could be the one that works, and the others come from who only says so.
+                min(same, key=lambda other: other.heard_ms).stop("its zone has newer collectors")
             self.collectors[peer] = zone
         else:
             raise Spoilt("it began without joining")
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -216,7 +216,7 @@
             messages=self.written, bytes=self.written_bytes, endpoints=len(self.addresses),
             dropped=dict(front.dropped + self.dropped), ended=dict(front.ended), watch=self.watch.state,
             dials=self.watch.dials, lines=self.watch.lines, revision=self.watch.revision,
-            spoilt=self.watch.spoilt,
+            spoilt=self.watch.spoilt, owed=self.watch.owed, looks=self.watch.looks,
             believed={**believed(self.rounds.planner), **self.told}, **machine(),
         )  # fmt: skip
         self.late_ms = self.cpu_ms = 0.0
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -178,6 +178,23 @@
     assert not mine.gone and other.gone and sum(steps.front.dropped.values()) == 1
 
 
+def test_who_only_says_that_it_is_a_collector_ends_none_that_works(steps):
+    joining = frame({"t": "telemetry", "site": "a"})
+    works = steps.dial(joining)
+    steps.poller.accept()
+    steps.serve_ready()
+    (peer,) = steps.poller.peers.values()
+    for _ in range(4):
+        steps.dial(joining)
+        steps.poller.accept()
+        steps.serve_ready()
+        steps.poller.look_at_touched()
+        works.sendall(frame(live.sums("a", "s0", 5, 0)))
+        steps.serve_ready()
+    assert not peer.gone and len(steps.front.collectors) == 2
+    assert [news[0] for news in steps.news] == ["sums"] * 4
+
+
 def test_without_a_descriptor_left_the_listener_is_left_alone_until_there_is_one(steps):
     """EMFILE keeps the listener readable: the poller would take the whole core."""
     steps.dial(frame(attach(1)))
