A change that a whole list held already is not brought again by the watch

A look brought revision 2 whole just before the watch's own line with the same changes, and the list came twice. Harmless to the module, which takes both alike, but no news; `Watch.take` now leaves a line whose revision the last clean whole list had. A whole list with a spoilt entry, or by other numbers, forgets that. Tests: the order is forced through `take`; it fails without the change.

--- a/quillstep/platform/watch.py
+++ b/quillstep/platform/watch.py
@@ -52,6 +52,7 @@
         """`owed`: what is known at this revision lacks entries that could not be read."""
         self.address, self.offset_ms, self.put, self.owed = address, offset_ms, put, owed
         self.seen = revision  # the newest that was read
+        self.held = -1  # that of the last whole list without a spoilt entry: it holds all changes up to there
         self.revision = 0 if owed else revision  # the newest up to which nothing is owed
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
@@ -161,8 +162,8 @@
         news = read_list(decoded(line), self.offset_ms)
         if not news.whole and news.revision < self.seen:
             self.spoilt += 1
-            return
-        self.bring(news, news.whole or first)
+        elif news.whole or news.revision != self.held:  # else a look was quicker than the watch
+            self.bring(news, news.whole or first)
 
     def bring(self, news: News, holds_all: bool) -> None:
         """Hand a list on.  Entries that could not be read are owed until a list that holds them has come.
@@ -170,6 +171,8 @@
         Found in reading: the next good line moved the revision past a spoilt one, which was never asked for again.
         """
         self.seen = news.revision
+        if news.whole:
+            self.held = -1 if news.spoilt else news.revision
         if news.spoilt:
             self.owed, self.revision = True, min(self.revision, max(0, news.revision - 1))
             self.spoilt += len(news.spoilt)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -428,6 +428,7 @@
     ("changes in order", [(2, "t", False), (3, "u", False)], ["t", "u"], 3),
     ("changes that go back", [(5, "t", False), (4, "u", False)], ["t"], 5),
     ("the same revision again", [(5, "t", False), (5, "t", False)], ["t", "t"], 5),
+    ("a change that a whole list held", [(5, "t", True), (5, "u", False), (6, "v", False)], ["t", "v"], 6),
     ("a whole list in mid-watch", [(5, "t", False), (6, "u", True)], ["t", "u"], 6),
     ("a whole list with a lower revision", [(5, "t", False), (2, "u", True), (3, "v", False)], ["t", "u", "v"], 3),
 ]
@@ -450,6 +451,15 @@
     assert [sorted(news.addresses) for news in found] == [["s"], ["u"]] and watch.seen == 3 and watch.owed
 
 
+def test_a_whole_list_by_other_numbers_forgets_what_an_earlier_one_held():
+    found = []
+    watch = Watch("127.0.0.1:1", 1, 0.0, lambda news: found.append(news[1]))
+    for line in (list_line(7, member("s"), complete=True), list_line(2, member("t", size="x"), complete=True)):
+        watch.take(line)
+    watch.take(list_line(7, member("u")))
+    assert "u" in found[-1].addresses
+
+
 def test_a_watch_that_ends_after_each_line_is_not_dialled_without_a_pause(monkeypatch):
     monkeypatch.setattr("quillstep.platform.watch.AGAIN_MS", 200.0)
     begun = time.monotonic()
