The stand-in for discovery counts what a watch knows before it says it was asked

Found by the 13th of 20 runs of the socket tests ("a dial after a line that can't be read"): the stand-in told the test of the question before it had counted which changes the watch knew; a change told in between, with the revision that the watch named, was counted as known and never sent.

--- a/tests/live.py
+++ b/tests/live.py
@@ -145,11 +145,10 @@
             body = json.dumps(self.list()).encode()
             sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
             return
-        self.asked.append(path)
         at = int(path.partition("since=")[2])
-        silent = self.silent
+        silent, sent = self.silent, len([each for each in self.news if each[0] <= at])
+        self.asked.append(path)  # from here on whoever waits for the question may tell
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-        sent = len([each for each in self.news if each[0] <= at])
         while True:
             with self.changed:
                 more = self.changed.wait_for(lambda sent=sent: len(self.news) > sent and not self.keeps, 0.5)
