One stand-in fleet for the fixtures of the live pilot's tests

test_platform.py and test_crossings.py set up endpoints, discovery and a pilot by like lines; live.served does it for both.

--- a/tests/live.py
+++ b/tests/live.py
@@ -307,3 +307,20 @@
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait(WAIT_S)
+
+
+@contextlib.contextmanager
+def served(folder, number):
+    """So many endpoints in two zones, discovery, and a pilot as the platform starts it; it knows them."""
+    endpoints = {f"s{at}": Endpoint(f"s{at}", "ab"[at % 2]) for at in range(number)}
+    discovery = Discovery([endpoint.entry() for endpoint in endpoints.values()])
+    pilot = Process(configuration(folder, discovery.address, discovery.members))
+    try:
+        pilot.address = pilot.said("pilot ready")["address"]
+        pilot.path, pilot.endpoints, pilot.discovery = folder / "config.json", endpoints, discovery
+        yield pilot
+    finally:
+        pilot.stop()
+        discovery.close()
+        for endpoint in endpoints.values():
+            endpoint.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -722,19 +722,8 @@
 
 @pytest.fixture
 def running(tmp_path):
-    endpoints = [Endpoint(f"s{at}", "ab"[at % 2]) for at in range(3)]
-    discovery = Discovery([endpoint.entry() for endpoint in endpoints])
-    path = configuration(tmp_path, discovery.address, discovery.members)
-    pilot = Process(path)
-    try:
-        pilot.address = pilot.said("pilot ready")["address"]
-        pilot.path, pilot.discovery, pilot.endpoints = path, discovery, endpoints
+    with live.served(tmp_path, 3) as pilot:
         yield pilot
-    finally:
-        pilot.stop()
-        discovery.close()
-        for endpoint in endpoints:
-            endpoint.close()
 
 
 @pytest.mark.parametrize("what", ["a port that can't be", "nesting beyond sense", "two classes of one name"])
@@ -746,7 +735,7 @@
     })  # fmt: skip
     running.process.send_signal(signal.SIGHUP)
     assert BAD[what][1] in running.said("configuration kept")["reason"]
-    running.discovery.tell(running.endpoints[0].entry("draining"))
+    running.discovery.tell(running.endpoints["s0"].entry("draining"))
     wait_until(lambda: "s0" not in proxy.usable(), "the drain over the old watch")
 
 
@@ -754,7 +743,7 @@
     proxy = Proxy(running.address, 0)
     wait_until(lambda: len(proxy.usable()) == 3, "the calendar")
     other = Discovery(running.discovery.members)
-    other.tell(running.endpoints[1].entry("draining"))  # all that it tells is the change after what is known
+    other.tell(running.endpoints["s1"].entry("draining"))  # all that it tells is the change after what is known
     try:
         configuration(running.path.parent, other.address, running.discovery.members)
         running.process.send_signal(signal.SIGHUP)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 
 import live
 import pytest
-from live import Client, Discovery, Endpoint, Process, Proxy, configuration, frame, settings, sums, wait_until
+from live import Client, Discovery, Endpoint, Proxy, configuration, frame, settings, sums, wait_until
 
 from quillstep.frames import check
 from quillstep.frames.codec import FrameCodec
@@ -374,20 +374,8 @@
 @pytest.fixture
 def fleet(tmp_path):
     """Six endpoints, discovery, and a pilot as the platform starts it."""
-    endpoints = {f"s{at}": Endpoint(f"s{at}", "ab"[at % 2]) for at in range(6)}
-    members = [endpoint.entry() for endpoint in endpoints.values()]
-    discovery = Discovery(members)
-    path = configuration(tmp_path, discovery.address, members)
-    pilot = Process(path)
-    try:
-        pilot.address = pilot.said("pilot ready")["address"]
-        pilot.path, pilot.endpoints, pilot.discovery = path, endpoints, discovery
+    with live.served(tmp_path, 6) as pilot:
         yield pilot
-    finally:
-        pilot.stop()
-        discovery.close()
-        for endpoint in endpoints.values():
-            endpoint.close()
 
 
 def joined(pilot, numbers=range(4)):
