--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -739,6 +739,12 @@
     wait_until(lambda: "s0" not in proxy.usable(), "the drain over the old watch")
 
 
+def test_a_fault_of_ours_with_a_new_configuration_leaves_the_old_one_in_force(pilot):
+    before = pilot.record
+    pilot.reload(lambda: 1 / 0)
+    assert pilot.record is before and pilot.watch.address == before.discovery
+
+
 def test_a_drain_at_the_new_address_before_its_first_whole_list_reaches_the_proxies(running):
     proxy = Proxy(running.address, 0)
     wait_until(lambda: len(proxy.usable()) == 3, "the calendar")
