Log why each endpoint got its weight, its state changes, and the reason of every close

The incident's logs held neither ages nor weights, so nobody could tell what the controller believed of an endpoint.

--- a/quillstep/platform/event_handler.py
+++ b/quillstep/platform/event_handler.py
@@ -16,6 +16,7 @@
 )
 from quillstep.planner.planner import Planner
 from quillstep.platform.endpoint_list import DiscoveryUpdate
+from quillstep.platform.endpoint_log import EndpointLog
 from quillstep.platform.endpoint_registry import EndpointRegistry
 from quillstep.platform.protocol.events import (
     AckReceived,
@@ -37,9 +38,11 @@
         intervals: ControlIntervals[Planner],
         output: ProtocolOutput,
         endpoints: EndpointRegistry,
+        endpoint_log: EndpointLog,
         clock_ms: Callable[[], float],
     ) -> None:
         self.intervals, self.output, self.endpoints, self.clock_ms = intervals, output, endpoints, clock_ms
+        self.endpoint_log = endpoint_log
         self.streams: dict[int, ProtocolConnection] = {}  # by connected proxy
         self.dropped: Counter[str] = Counter()  # discarded reports by reason
         self.report_totals: Counter[str] = Counter()  # attempts and requests passed to the planner
@@ -96,7 +99,9 @@
         self.intervals.pending.health_checks.append(result)
 
     def _handle_discovery_update(self, update: DiscoveryUpdate) -> None:
-        self.endpoints.apply(update, self.clock_ms())
+        now_ms = self.clock_ms()
+        self.endpoints.apply(update, now_ms)
+        self.endpoint_log.record_list(update.entries, now_ms)
         self.intervals.pending.endpoint_lists.append(EndpointListUpdate(update.kind, update.entries))
 
 
--- a/quillstep/platform/protocol/connections.py
+++ b/quillstep/platform/protocol/connections.py
@@ -74,7 +74,7 @@
         self.collectors: dict[ProtocolConnection, str] = {}  # zone by collector connection
         self.dropped: Counter[str] = Counter()  # dropped messages by reason
         self.closed_unregistered: Counter[str] = Counter()  # connections that closed without registering, by reason
-        self.last_logged_ms: dict[str, float] = {}  # time of the last log line by reason of dropped messages
+        self.last_logged_ms: dict[str, float] = {}  # time of the last log line by topic
         self.log = structlog.get_logger("connections")
 
     def handle_event(self, connection: ProtocolConnection, event: MessageEvent) -> None:
@@ -107,6 +107,10 @@
             self.publish(ProxyDisconnected(connection, proxy))
         elif self.collectors.pop(connection, None) is None:
             self.closed_unregistered[reason] += 1
+            if self._is_log_due(f"closed: {reason}"):
+                self.log.info("unregistered connection closed", reason=reason, closed=self.closed_unregistered[reason])
+        else:
+            self.log.info("collector disconnected", reason=reason)
 
     def _register(self, connection: ProtocolConnection, kind: str, message: Message) -> None:
         if kind == names.PROXY_REGISTRATION:
@@ -150,10 +154,17 @@
 
     def _drop(self, reason: str) -> None:
         self.dropped[reason] += 1
-        if now_ms() - self.last_logged_ms.get(reason, float("-inf")) > DROP_LOG_INTERVAL_MS:
-            self.last_logged_ms[reason] = now_ms()
+        if self._is_log_due(f"dropped: {reason}"):
             self.log.warning("message dropped", reason=reason, dropped=self.dropped[reason])
 
+    def _is_log_due(self, topic: str) -> bool:
+        """Return whether to log a line on a topic now: at most one per `DROP_LOG_INTERVAL_MS`."""
+        now = now_ms()
+        if now - self.last_logged_ms.get(topic, float("-inf")) <= DROP_LOG_INTERVAL_MS:
+            return False
+        self.last_logged_ms[topic] = now
+        return True
+
 
 REPORT_HANDLERS: dict[str, Callable[[ConnectionManager, ProtocolConnection, Message], None]] = {
     names.UPSTREAM_STATS: ConnectionManager._handle_upstream_stats,
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -33,6 +33,7 @@
 )
 from quillstep.platform.discovery_watch import DiscoveryWatch
 from quillstep.platform.endpoint_list import DiscoveryUpdate, parse_endpoint_list
+from quillstep.platform.endpoint_log import EndpointLog
 from quillstep.platform.endpoint_registry import EndpointRegistry
 from quillstep.platform.event_handler import ControllerEvent, EventHandler
 from quillstep.platform.protocol.connections import ConnectionLimits, ConnectionManager
@@ -92,7 +93,8 @@
             config.class_names, self._request_health_check, self.intervals.set_timer, self._log_note
         )
         self.endpoints = EndpointRegistry(REMOVED_ENDPOINT_RETENTION_INTERVALS * config.planner.report_interval_ms)
-        self.handler = EventHandler(self.intervals, self.output, self.endpoints, now_ms)
+        self.endpoint_log = EndpointLog(planner)
+        self.handler = EventHandler(self.intervals, self.output, self.endpoints, self.endpoint_log, now_ms)
         self.interval_metrics = IntervalMetrics()
         self.last_status_ms = now_ms()
         self.connections = ConnectionManager(
@@ -168,6 +170,7 @@
         started_s = time.thread_time()
         observations = self.intervals.start(now)
         self.intervals.run(observations, self.output)
+        self.endpoint_log.record_output(self.output, now)
         for proxy, update in self.output.flush():
             self.handler.streams[proxy].send(0, update)
             self.interval_metrics.updates_sent += 1
