Take endpoint ages from what the controller saw, not from wall clocks

Callers saw warming endpoints overloaded after a controller was killed and restarted. Cause: the age of an endpoint was its listed Unix start plus one reading of this machine's wall clock (clock_offset_ms), so a step of either clock by more than a warm-up made a cold endpoint look warm; a listed start that moved back was no start at all, since starts were compared as 'greater than'. Class of bug: a span of real time measured by a wall clock. Both controllers (platform and xDS) had it.

Now a start counts from when it was first seen or changed; only the entries known at the start may be older, by the age that this machine's clock and the newest listed start both confirm (a step affects one of them). An endpoint believed too young is limited for one warm-up. Known starts are kept 30 s beyond removal, so that a partition does not make its endpoints look restarted.

--- a/quillstep/controller/discovery_client.py
+++ b/quillstep/controller/discovery_client.py
@@ -10,7 +10,8 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from quillstep.controller.events import EndpointListReceived
-from quillstep.planner.messages import EndpointEntry
+from quillstep.controller.start_times import ListedEndpoint, StartTimes
+from quillstep.net.clock import now_ms
 from quillstep.xds.client import GrpcClient
 from quillstep.xds.http2 import MessageReceived, StreamEnded
 from quillstep.xds.resources import LEDS
@@ -24,12 +25,12 @@
 
 
 def parse_endpoint(
-    lb_endpoint: endpoint_components_pb2.LbEndpoint, clock_offset_ms: float
-) -> tuple[EndpointEntry, tuple[str, int]]:
-    """Returns a resource's entry for the endpoint list, and the endpoint's address.
+    lb_endpoint: endpoint_components_pb2.LbEndpoint,
+) -> tuple[ListedEndpoint, tuple[str, int]]:
+    """Returns a resource's entry in the endpoint list, and the endpoint's address.
 
     The metadata namespace `quillstep` holds `id`, `zone` and optionally `started_ms` (wall clock; absent if the
-    endpoint started long ago).  `clock_offset_ms` is added to wall-clock milliseconds to get the controller's clock.
+    endpoint started long ago).
     """
     fields = lb_endpoint.metadata.filter_metadata[METADATA_NAMESPACE].fields
     started = fields["started_ms"].number_value if "started_ms" in fields else 0.0
@@ -39,13 +40,7 @@
         float(lb_endpoint.load_balancing_weight.value) / 100.0 if lb_endpoint.HasField("load_balancing_weight") else 1.0
     )
     address = lb_endpoint.endpoint.address.socket_address
-    entry = EndpointEntry(
-        int(fields["id"].number_value),
-        fields["zone"].string_value,
-        state,
-        weight,
-        started + clock_offset_ms if started else 0.0,
-    )
+    entry = ListedEndpoint(int(fields["id"].number_value), fields["zone"].string_value, state, weight, started)
     return entry, (address.address, address.port_value)
 
 
@@ -60,12 +55,12 @@
         address: str,
         name: str,
         zone: str,
-        clock_offset_ms: float,
+        start_times: StartTimes,
         publish: Callable[[EndpointListReceived], None],
     ) -> None:
         self.address, self.name, self.zone = address, name, zone
-        self.clock_offset_ms, self.publish = clock_offset_ms, publish
-        self.entries: dict[str, EndpointEntry] = {}  # newest entry by resource name
+        self.start_times, self.publish = start_times, publish
+        self.entries: dict[str, ListedEndpoint] = {}  # newest entry by resource name
         self.versions: dict[str, str] = {}
         self.log = structlog.get_logger("discovery")
         threading.Thread(target=self._run, name="discovery-client", daemon=True).start()
@@ -110,19 +105,20 @@
 
     def _handle_response(self, response: discovery_pb2.DeltaDiscoveryResponse) -> None:
         is_first = not self.entries
-        entries, addresses = [], {}
+        listed, addresses = [], {}
         for resource in response.resources:
             lb_endpoint = endpoint_components_pb2.LbEndpoint()
             if not resource.resource.Unpack(lb_endpoint):
                 continue
-            entry, address = parse_endpoint(lb_endpoint, self.clock_offset_ms)
+            entry, address = parse_endpoint(lb_endpoint)
             self.entries[resource.name] = entry
             self.versions[resource.name] = resource.version
-            entries.append(entry)
+            listed.append(entry)
             addresses[entry.endpoint] = address
         for name in response.removed_resources:
             self.versions.pop(name, None)
             if name in self.entries:
                 entry = self.entries.pop(name)
-                entries.append(entry._replace(state="terminated"))
+                listed.append(entry._replace(state="terminated"))
+        entries = self.start_times.to_entries(listed, is_first, now_ms())
         self.publish(EndpointListReceived("complete" if is_first else "partial", entries, addresses))
--- a/quillstep/controller/service.py
+++ b/quillstep/controller/service.py
@@ -9,7 +9,6 @@
 import os
 import sys
 import threading
-import time
 from typing import Any
 
 import structlog
@@ -22,12 +21,13 @@
 from quillstep.controller.events import StopRequested
 from quillstep.controller.health_checker import HealthChecker
 from quillstep.controller.socket_record import SocketRecord
+from quillstep.controller.start_times import StartTimes
 from quillstep.controller.status import ControllerStatus
 from quillstep.controller.store_submission import StoreSubmission
 from quillstep.load_reports.events import ReportsSummarized
 from quillstep.load_reports.readers.pool import ReaderPool
 from quillstep.load_reports.readers.thread import ReaderThread
-from quillstep.net.clock import now_ms
+from quillstep.net.clock import now_ms, wall_clock_offset_ms
 from quillstep.recording.writer import RecordingWriter
 from quillstep.store import Store
 from quillstep.store.writer import StoreWriter
@@ -39,6 +39,7 @@
 MAX_WAIT_S = 0.5
 SWITCH_INTERVAL_S = 0.001  # bounds how long another thread may hold the interpreter while the deciding thread waits
 STATUS_INTERVAL_MS = 10000.0
+REMOVED_ENDPOINT_RETENTION_MS = 30000.0  # an endpoint that returns later counts as restarted
 
 
 class Controller:
@@ -151,7 +152,6 @@
             self.log.info("recording closed", records=self.recording.written, cpu_s=cpu_s)
 
     def _start(self) -> None:
-        clock_offset_ms = now_ms() - time.time() * 1000.0
         self.server.start()
         if self.store_writer:
             self.publish(self.store_writer.opened_event())
@@ -161,8 +161,9 @@
         if self.loop.files:
             self.loop.files.start()
         settings = self.settings
+        start_times = StartTimes(wall_clock_offset_ms(), REMOVED_ENDPOINT_RETENTION_MS)
         self.discovery = DiscoveryClient(
-            settings.discovery_address, settings.name, settings.zone, clock_offset_ms, self.publish
+            settings.discovery_address, settings.name, settings.zone, start_times, self.publish
         )
         self.log.info("controller ready", controller=settings.name, address=self.server.address)
 
--- a/quillstep/platform/discovery_watch.py
+++ b/quillstep/platform/discovery_watch.py
@@ -71,7 +71,6 @@
         self,
         address: str,
         revision: int,
-        clock_offset_ms: float,
         publish: Callable[[DiscoveryUpdate], None],
         *,
         has_missing_entries: bool = False,
@@ -81,11 +80,10 @@
         Args:
             address: Discovery's numeric host and port.
             revision: Revision of the known list.
-            clock_offset_ms: See `parse_endpoint_list`.
             publish: Called with each update, in the watch's thread.
             has_missing_entries: Whether entries of the known list were rejected; see `ListTracker`.
         """
-        self.address, self.clock_offset_ms, self.publish = address, clock_offset_ms, publish
+        self.address, self.publish = address, publish
         self.tracker = ListTracker(revision, has_missing_entries=has_missing_entries)
         self.lock = threading.Lock()
         self.sock: socket.socket | None = None
@@ -199,7 +197,7 @@
         self.last_refresh_ms = started_s * 1000.0
         try:
             response = get(parse_address(address), LIST_PATH, started_s + CONNECT_TIMEOUT_MS / 1000.0, MAX_LINE_BYTES)
-            update = parse_endpoint_list(_decode(response.body), self.clock_offset_ms)
+            update = parse_endpoint_list(_decode(response.body))
         except (OSError, h11.ProtocolError, MalformedListError):
             return  # unavailable or malformed: the watch continues and has its own idle timeout
         if response.status == HTTP_OK and self.tracker.accept_from_refresh(update):
@@ -215,7 +213,7 @@
         Raises:
             MalformedListError: The line is not a valid endpoint list.
         """
-        update = parse_endpoint_list(_decode(line), self.clock_offset_ms)
+        update = parse_endpoint_list(_decode(line))
         if self.tracker.accept_from_watch(update, is_first):
             self._publish(update)
 
--- a/quillstep/platform/endpoint_list.py
+++ b/quillstep/platform/endpoint_list.py
@@ -8,8 +8,8 @@
 import socket
 from typing import Any, NamedTuple
 
+from quillstep.controller.start_times import ListedEndpoint
 from quillstep.errors import QuillstepError
-from quillstep.planner.messages import EndpointEntry
 
 # The planner's endpoint state by discovery's phase.
 ENDPOINT_STATES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
@@ -32,21 +32,20 @@
     """
 
     kind: str
-    entries: list[EndpointEntry]
+    entries: list[ListedEndpoint]
     addresses: dict[str, Address]  # by endpoint name
     revision: int
     rejected: list[str]  # reasons for the entries that were left out
     is_complete: bool
 
 
-def parse_endpoint_list(document: Any, clock_offset_ms: float, kind: str = "") -> DiscoveryUpdate:
-    """Convert a decoded endpoint list to the planner's types.
+def parse_endpoint_list(document: Any, kind: str = "") -> DiscoveryUpdate:
+    """Convert a decoded endpoint list to typed entries.
 
     Invalid entries are left out and reported in `DiscoveryUpdate.rejected`.
 
     Args:
         document: The decoded JSON document.
-        clock_offset_ms: Offset from Unix time to this process's monotonic clock, in milliseconds.
         kind: The update's kind; derived from the document if empty.
 
     Raises:
@@ -57,12 +56,12 @@
         raise MalformedListError("endpoint list: missing or invalid `revision`")
     if not isinstance(document.get("members"), list) or type(document.get("complete")) is not bool:
         raise MalformedListError("endpoint list: missing or invalid `members` or `complete`")
-    entries: list[EndpointEntry] = []
+    entries: list[ListedEndpoint] = []
     addresses: dict[str, Address] = {}
     rejected: list[str] = []
     for member in document["members"]:
         try:
-            entry, address = parse_entry(member, clock_offset_ms)
+            entry, address = parse_entry(member)
         except ValueError as error:
             rejected.append(str(error))
             continue
@@ -91,8 +90,8 @@
     return host, int(match[2])
 
 
-def parse_entry(member: Any, clock_offset_ms: float) -> tuple[EndpointEntry, Address]:
-    """Parse one entry of an endpoint list; its start time is converted to this process's monotonic clock.
+def parse_entry(member: Any) -> tuple[ListedEndpoint, Address]:
+    """Parse one entry of an endpoint list.
 
     Raises:
         ValueError: A field is missing or invalid.
@@ -112,6 +111,5 @@
     for name, value in (("size", size), ("up_since_ms", started_unix_ms)):
         if type(value) not in (int, float) or not 0 <= value <= MAX_VALUE:
             raise ValueError(f"{name} is no number that it can be")
-    started_ms = started_unix_ms + clock_offset_ms if started_unix_ms else 0.0  # 0: started long ago
-    entry = EndpointEntry(member["id"], member["locality"], ENDPOINT_STATES[member["phase"]], float(size), started_ms)
-    return entry, address
+    state = ENDPOINT_STATES[member["phase"]]
+    return ListedEndpoint(member["id"], member["locality"], state, float(size), started_unix_ms), address
--- a/quillstep/platform/event_handler.py
+++ b/quillstep/platform/event_handler.py
@@ -7,6 +7,7 @@
 import structlog
 
 from quillstep.controller.control_intervals import ControlIntervals
+from quillstep.controller.start_times import StartTimes
 from quillstep.planner.messages import (
     DownstreamStats,
     EndpointListUpdate,
@@ -38,11 +39,12 @@
         intervals: ControlIntervals[Planner],
         output: ProtocolOutput,
         endpoints: EndpointRegistry,
+        start_times: StartTimes,
         endpoint_log: EndpointLog,
         clock_ms: Callable[[], float],
     ) -> None:
         self.intervals, self.output, self.endpoints, self.clock_ms = intervals, output, endpoints, clock_ms
-        self.endpoint_log = endpoint_log
+        self.start_times, self.endpoint_log = start_times, endpoint_log
         self.streams: dict[int, ProtocolConnection] = {}  # by connected proxy
         self.dropped: Counter[str] = Counter()  # discarded reports by reason
         self.report_totals: Counter[str] = Counter()  # attempts and requests passed to the planner
@@ -101,8 +103,9 @@
     def _handle_discovery_update(self, update: DiscoveryUpdate) -> None:
         now_ms = self.clock_ms()
         self.endpoints.apply(update, now_ms)
-        self.endpoint_log.record_list(update.entries, now_ms)
-        self.intervals.pending.endpoint_lists.append(EndpointListUpdate(update.kind, update.entries))
+        entries = self.start_times.to_entries(update.entries, update.kind == "complete", now_ms)
+        self.endpoint_log.record_list(entries, now_ms)
+        self.intervals.pending.endpoint_lists.append(EndpointListUpdate(update.kind, entries))
 
 
 HANDLERS: dict[type, Callable[[EventHandler, Any], None]] = {
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -22,7 +22,8 @@
 from quillstep.controller.control_intervals import ControlIntervals
 from quillstep.controller.event_queue import EventQueue
 from quillstep.controller.health_checker import HealthChecker
-from quillstep.net.clock import now_ms
+from quillstep.controller.start_times import StartTimes
+from quillstep.net.clock import now_ms, wall_clock_offset_ms
 from quillstep.planner.planner import Planner
 from quillstep.platform.configuration import (
     ConfigurationError,
@@ -62,11 +63,11 @@
     return ConnectionLimits(max_connections=free, max_unregistered=free)
 
 
-def parse_initial_list(configuration: PlatformConfiguration, clock_offset_ms: float) -> DiscoveryUpdate:
+def parse_initial_list(configuration: PlatformConfiguration) -> DiscoveryUpdate:
     """Parse the configuration's endpoint list; see `parse_endpoint_list`."""
     initial = configuration.initial_list
     document = {"revision": initial.revision, "complete": True, "members": initial.members}
-    return parse_endpoint_list(document, clock_offset_ms, "persisted")
+    return parse_endpoint_list(document, "persisted")
 
 
 class PlatformController:
@@ -92,20 +93,20 @@
         self.output = ProtocolOutput(
             config.class_names, self._request_health_check, self.intervals.set_timer, self._log_note
         )
-        self.endpoints = EndpointRegistry(REMOVED_ENDPOINT_RETENTION_INTERVALS * config.planner.report_interval_ms)
+        retention_ms = REMOVED_ENDPOINT_RETENTION_INTERVALS * config.planner.report_interval_ms
+        self.endpoints = EndpointRegistry(retention_ms)
+        start_times = StartTimes(wall_clock_offset_ms(), retention_ms)
         self.endpoint_log = EndpointLog(planner)
-        self.handler = EventHandler(self.intervals, self.output, self.endpoints, self.endpoint_log, now_ms)
+        self.handler = EventHandler(self.intervals, self.output, self.endpoints, start_times, self.endpoint_log, now_ms)
         self.interval_metrics = IntervalMetrics()
         self.last_status_ms = now_ms()
         self.connections = ConnectionManager(
             configuration.listen, connection_limits(configuration), config.deployment, self.publish
         )
-        clock_offset_ms = now_ms() - time.time() * 1000.0
-        self.initial_update = parse_initial_list(configuration, clock_offset_ms)
+        self.initial_update = parse_initial_list(configuration)
         self.watch = DiscoveryWatch(
             configuration.discovery,
             self.initial_update.revision,
-            clock_offset_ms,
             self.publish,
             has_missing_entries=bool(self.initial_update.rejected),
         )
