Do not spin while accept fails; go on to the next connection after an aborted one

Seen by callers: while accept failed with ENOBUFS, ENOMEM or an aborted connection, the process used a whole core and everyone's updates were late. Cause: only EMFILE and ENFILE took the listener out of the poll set, so a pending connection woke the poller at once.

--- a/quillstep/net/listener.py
+++ b/quillstep/net/listener.py
@@ -1,4 +1,4 @@
-"""The listening socket: accepts connections, and is not polled while no file descriptor is available."""
+"""The listening socket: accepts connections, and is not polled for a moment after one could not be accepted."""
 
 import errno
 import select
@@ -12,6 +12,7 @@
 MAX_ACCEPTED_PER_PASS = 64  # limited so that other connections are served between batches
 REJECTION_LOG_INTERVAL_MS = 1000.0
 DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
+RESOURCES_EXHAUSTED = (*DESCRIPTORS_EXHAUSTED, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Listener:
@@ -23,7 +24,7 @@
         self.address = "{}:{}".format(*self.sock.getsockname()[:2])
         self.sock.settimeout(0)  # `accept` is called until none is pending; accepted sockets block
         self.poll = poll
-        self.is_accepting = True  # False after running out of file descriptors, until the next maintenance
+        self.is_accepting = True  # False after `accept` has failed, until the next maintenance
         self.last_rejection_log_ms = float("-inf")
         self.log = structlog.get_logger("net")
 
@@ -35,18 +36,23 @@
         Args:
             add: Called with each accepted socket.
             evict: Closes a connection to free its descriptor; returns False if there is none to close.
-            log_rejection: Called with the reason if no file descriptor is available.
+            log_rejection: Called with the reason if a connection could not be accepted.
         """
+        failures = 0
         for _ in range(MAX_ACCEPTED_PER_PASS):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in DESCRIPTORS_EXHAUSTED and not evict():
-                    log_rejection("no file descriptor available")
-                    self.set_accepting(False)
-                return
+                if error.errno in DESCRIPTORS_EXHAUSTED and evict():
+                    return
+                failures += 1
+                log_rejection(error.strerror or type(error).__name__)
+                if error.errno in RESOURCES_EXHAUSTED or failures == MAX_ACCEPTED_PER_PASS:
+                    self.set_accepting(False)  # the connection is still pending, and would wake the poller at once
+                    return
+                continue  # this connection was aborted; others may be pending
             add(sock)
 
     def set_accepting(self, is_accepting: bool) -> None:
