Evict no peer when the system as a whole is out of file descriptors

Seen by callers: an unregistered connection was closed while the machine was out of descriptors (ENFILE), although that is no fault of its own and frees little. Only EMFILE, this process's own limit, evicts now; the test failed for ENFILE before.

--- a/quillstep/net/listener.py
+++ b/quillstep/net/listener.py
@@ -11,8 +11,7 @@
 
 MAX_ACCEPTED_PER_PASS = 64  # limited so that other connections are served between batches
 REJECTION_LOG_INTERVAL_MS = 1000.0
-DESCRIPTORS_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
-RESOURCES_EXHAUSTED = (*DESCRIPTORS_EXHAUSTED, errno.ENOBUFS, errno.ENOMEM)
+RESOURCES_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Listener:
@@ -35,7 +34,7 @@
 
         Args:
             add: Called with each accepted socket.
-            evict: Closes a connection to free its descriptor; returns False if there is none to close.
+            evict: Closes a connection to free one of this process's descriptors; returns False if there is none to close.
             log_rejection: Called with the reason if a connection could not be accepted.
         """
         failures = 0
@@ -45,7 +44,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in DESCRIPTORS_EXHAUSTED and evict():
+                if error.errno == errno.EMFILE and evict():
                     return
                 failures += 1
                 log_rejection(error.strerror or type(error).__name__)
