Close a connection that cannot be configured instead of ending the process

Seen by callers: an OSError of setsockopt on an accepted socket ended the poller's thread, and with it the process (status 70): every proxy lost its stream. Now that one connection is closed, with a log line.

--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -147,7 +147,12 @@
             return
         while len(self.unregistered) >= self.limits.max_unregistered:
             self.evict_oldest_unregistered()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            self._log_rejection(f"cannot set TCP_NODELAY: {error.strerror}")
+            sock.close()
+            return
         self.accepted += 1
         connection = Connection(self, sock, self.make_codec(), self.accepted)
         self.connections[sock.fileno()] = self.unregistered[sock.fileno()] = connection
