--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -28,6 +28,7 @@
 RECEIVE_BYTES = 64 * 1024
 MAX_POLL_MS = 500.0
 MAINTENANCE_INTERVAL_MS = 250.0
+POLL_RETRY_S = 0.02
 READ, WRITE = select.POLLIN, select.POLLOUT
 HANGUP = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -77,6 +78,7 @@
         self.stopping = threading.Event()
         self.accepted = 0
         self.last_maintenance_ms = now_ms()
+        self.is_poll_failing = False
         self.io_cpu_s = 0.0  # processor time spent on sockets and streams
         self.log = structlog.get_logger("net")
 
@@ -103,7 +105,7 @@
             self.poll.register(descriptor, READ)
         due_ms = float("inf")
         while not self.stopping.is_set():
-            ready = self.poll.poll(min(MAX_POLL_MS, max(0.0, due_ms - now_ms())))
+            ready = self._wait_until_ready(min(MAX_POLL_MS, max(0.0, due_ms - now_ms())))
             started_s = time.thread_time()
             for descriptor, events in ready:
                 self._serve(descriptor, events)
@@ -115,6 +117,19 @@
             self.update_scheduled()
         self._shut_down()
 
+    def _wait_until_ready(self, timeout_ms: float) -> list[tuple[int, int]]:
+        """Return the ready descriptors and their events; none if `poll` failed, after a pause that prevents spinning."""
+        try:
+            ready = self.poll.poll(timeout_ms)
+        except OSError as error:
+            if not self.is_poll_failing:
+                self.log.warning("poll failed", reason=error.strerror)
+            self.is_poll_failing = True
+            self.stopping.wait(POLL_RETRY_S)
+            return []
+        self.is_poll_failing = False
+        return ready
+
     def _serve(self, descriptor: int, events: int) -> None:
         if descriptor in self.connections:
             self.handle_ready(self.connections[descriptor], events)
