Keep a stream whose read or write failed for lack of memory, and try again

Seen by callers: ENOBUFS or ENOMEM from recv or send closed the proxy's stream, and every time limit for it ran on. Such a connection is now left out of the poll set until the next maintenance (0.25 s) and tried again.

--- a/quillstep/net/connection.py
+++ b/quillstep/net/connection.py
@@ -73,6 +73,7 @@
         self.message_budget, self.budget_updated_ms = poller.limits.messages_per_s, self.accepted_ms
         self.poll_mask = select.POLLIN
         self.is_paused = False  # while True, the connection is not read
+        self.is_suspended = False  # while True, the connection is neither read nor written: the system lacks memory
         self.is_scheduled = False  # queued for an update by the poller's thread
         self.close_reason = ""  # set once the connection is to be closed
         self.is_closed = False
--- a/quillstep/net/listener.py
+++ b/quillstep/net/listener.py
@@ -34,7 +34,7 @@
 
         Args:
             add: Called with each accepted socket.
-            evict: Closes a connection to free one of this process's descriptors; returns False if there is none to close.
+            evict: Closes a connection to free a descriptor of this process; returns False if there is none to close.
             log_rejection: Called with the reason if a connection could not be accepted.
         """
         failures = 0
--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -20,6 +20,7 @@
 from quillstep.net.clock import now_ms
 from quillstep.net.codec import ProtocolError
 from quillstep.net.connection import CodecT, Connection, Limits
+from quillstep.net.errors import is_out_of_memory
 from quillstep.net.listener import Listener
 from quillstep.net.wakeup import Wakeup
 
@@ -29,6 +30,8 @@
 MAX_POLL_MS = 500.0
 MAINTENANCE_INTERVAL_MS = 250.0
 POLL_RETRY_S = 0.02
+SUSPENSION_LOG_INTERVAL_MS = 1000.0
+NO_EVENTS = 0
 READ, WRITE = select.POLLIN, select.POLLOUT
 HANGUP = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -79,6 +82,7 @@
         self.accepted = 0
         self.last_maintenance_ms = now_ms()
         self.is_poll_failing = False
+        self.last_suspension_log_ms = float("-inf")
         self.io_cpu_s = 0.0  # processor time spent on sockets and streams
         self.log = structlog.get_logger("net")
 
@@ -118,7 +122,7 @@
         self._shut_down()
 
     def _wait_until_ready(self, timeout_ms: float) -> list[tuple[int, int]]:
-        """Return the ready descriptors and their events; none if `poll` failed, after a pause that prevents spinning."""
+        """Return the ready descriptors and their events; if `poll` failed, none, after a pause."""
         try:
             ready = self.poll.poll(timeout_ms)
         except OSError as error:
@@ -224,14 +228,26 @@
                 self.close_now(connection, str(error))
                 return
             except OSError as error:
-                self.close_now(connection, connection.close_reason or type(error).__name__)
-                return
+                if not is_out_of_memory(error):
+                    self.close_now(connection, connection.close_reason or type(error).__name__)
+                    return
+                self._suspend(connection, error)
             except Exception as error:
                 self._close_after_error(connection, error)
                 return
         if not connection.is_closed:
             self.update(connection)
 
+    def _suspend(self, connection: Connection[CodecT], error: OSError) -> None:
+        """Leave a connection alone until the next maintenance, as the system has no memory for it now."""
+        connection.is_suspended = True
+        connection.poll_mask = NO_EVENTS
+        with contextlib.suppress(KeyError):
+            self.poll.unregister(connection.sock)  # a mask of 0 would still report a hang-up, again and again
+        if now_ms() - self.last_suspension_log_ms > SUSPENSION_LOG_INTERVAL_MS:
+            self.last_suspension_log_ms = now_ms()
+            self.log.warning("connection suspended", reason=error.strerror)
+
     def _close_after_error(self, connection: Connection[CodecT], error: Exception) -> None:
         """Log an internal error with its traceback and close only the connection that was being served."""
         self.log.error("connection handler failed", exc_info=error)
@@ -262,9 +278,11 @@
                 connection.send_buffer += connection.codec.pump()
             if connection.send_buffer:
                 self._write(connection)
-        except OSError:
-            self.close_now(connection, connection.close_reason or "write failed")
-            return
+        except OSError as error:
+            if not is_out_of_memory(error):
+                self.close_now(connection, connection.close_reason or f"write failed: {error.strerror}")
+                return
+            self._suspend(connection, error)
         except Exception as error:
             self._close_after_error(connection, error)
             return
@@ -277,10 +295,12 @@
             or connection.message_budget < 0
             or len(connection.send_buffer) > self.limits.max_unsent_bytes
         )
+        if connection.is_suspended:
+            return
         mask = (0 if is_blocked else READ) | (WRITE if connection.send_buffer else 0)
         if mask != connection.poll_mask:
             connection.poll_mask = mask
-            self.poll.modify(connection.sock, mask)
+            self.poll.register(connection.sock, mask)
 
     @staticmethod
     def _write(connection: Connection[CodecT]) -> None:
@@ -326,7 +346,10 @@
 
     def _maintain(self, connection: Connection[CodecT], now: float) -> None:
         limits = self.limits
-        was_over_budget = connection.message_budget < 0
+        was_blocked = connection.message_budget < 0 or connection.is_suspended
+        if connection.is_suspended:
+            connection.is_suspended = False
+            self.poll.register(connection.sock, NO_EVENTS)
         refill = (now - connection.budget_updated_ms) * limits.messages_per_s / 1000.0
         connection.message_budget = min(limits.messages_per_s, connection.message_budget + refill)
         connection.budget_updated_ms = now
@@ -342,5 +365,5 @@
             with connection.lock:
                 connection.codec.ping()
             self.update(connection)
-        elif was_over_budget:
+        elif was_blocked:
             self.update(connection)
