Do not count a health check against an endpoint that this machine could not run

Seen by callers: while connect failed with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EMFILE and the like, every endpoint that was checked failed its check and could be ejected, although nothing had been sent to it. Such a check now has no result; one log line a second tells the reason. EHOSTUNREACH, refusals and timeouts still count against the endpoint.

--- a/quillstep/controller/health_checker.py
+++ b/quillstep/controller/health_checker.py
@@ -11,12 +11,16 @@
 import msgspec
 import structlog
 
+from quillstep.errors import QuillstepError
+from quillstep.net.clock import now_ms
+from quillstep.net.errors import is_local_connect_fault
 from quillstep.net.http import get
 from quillstep.planner.messages import EndpointId, HealthCheckResult
 
 LOAD_HEADER = "endpoint-load-metrics"
 MAX_BODY_BYTES = 16 * 1024
 MAX_QUEUED_CHECKS = 1024
+NOT_RUN_LOG_INTERVAL_MS = 1000.0
 # The planner's names for metrics of ORCA load reports.
 METRIC_NAMES = {"cpu_utilization": "util", "rps_fractional": "qps", "rps": "qps", "eps": "eps"}
 
@@ -66,11 +70,23 @@
     return {**metrics, **report.named_metrics}
 
 
+class CheckNotRunError(QuillstepError):
+    """A fault of this machine prevented a check, which says nothing of the endpoint."""
+
+
 def check_endpoint(host: str, port: int, timeout_ms: float, path: str = "/health") -> tuple[bool, dict[str, float]]:
-    """Check one endpoint; return whether it is healthy, and its load report from the header or else the body."""
+    """Check one endpoint; return whether it is healthy, and its load report from the header or else the body.
+
+    Raises:
+        CheckNotRunError: No connection could be opened because of a fault of this machine.
+    """
     try:
         response = get((host, port), path, time.monotonic() + timeout_ms / 1000.0, MAX_BODY_BYTES)
-    except (OSError, h11.ProtocolError):
+    except OSError as error:
+        if is_local_connect_fault(error):
+            raise CheckNotRunError(error.strerror or type(error).__name__) from error
+        return False, {}
+    except h11.ProtocolError:
         return False, {}
     report = response.headers.get(LOAD_HEADER.encode(), b"") or response.body
     return response.status == 200, parse_load_report(report.decode("latin-1"))
@@ -89,6 +105,7 @@
         self.timeout_ms, self.publish, self.path = timeout_ms, publish, path
         self.requests: queue.Queue[tuple[EndpointId, str, int]] = queue.Queue(MAX_QUEUED_CHECKS)
         self.in_progress: set[EndpointId] = set()
+        self.last_not_run_log_ms = float("-inf")
         self.log = structlog.get_logger("health_checks")
         for number in range(workers):
             threading.Thread(target=self._work, name=f"health-check-{number}", daemon=True).start()
@@ -107,18 +124,30 @@
         while True:
             endpoint, host, port = self.requests.get()
             started_s = time.monotonic()
-            is_healthy, load = self._check(host, port)
+            result = self._check(host, port)
             self.in_progress.discard(endpoint)
-            duration_ms = (time.monotonic() - started_s) * 1000.0
-            self.publish(HealthCheckResult(endpoint, is_healthy, duration_ms, load))
+            if result:
+                is_healthy, load = result
+                duration_ms = (time.monotonic() - started_s) * 1000.0
+                self.publish(HealthCheckResult(endpoint, is_healthy, duration_ms, load))
 
-    def _check(self, host: str, port: int) -> tuple[bool, dict[str, float]]:
-        """Check an endpoint; an internal error fails the check but does not end the worker thread.
+    def _check(self, host: str, port: int) -> tuple[bool, dict[str, float]] | None:
+        """Check an endpoint; None if this machine could not run the check.
 
-        Without any workers left, no endpoint would be checked at all.
+        An internal error fails the check but does not end the worker thread: without any workers left, no endpoint
+        would be checked at all.
         """
         try:
             return check_endpoint(host, port, self.timeout_ms, self.path)
+        except CheckNotRunError as error:
+            self._log_not_run(str(error))
+            return None
         except Exception:
             self.log.exception("health check failed with an internal error", host=host, port=port)
             return False, {}
+
+    def _log_not_run(self, reason: str) -> None:
+        """Log that a check was not run, at most once per `NOT_RUN_LOG_INTERVAL_MS`."""
+        if now_ms() - self.last_not_run_log_ms > NOT_RUN_LOG_INTERVAL_MS:
+            self.last_not_run_log_ms = now_ms()
+            self.log.warning("health check not run", reason=reason)
