--- a/tests/planner/test_update_budget.py
+++ b/tests/planner/test_update_budget.py
@@ -1,10 +1,13 @@
 """Limits of the channel to the proxies."""
 
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from planner_harness import ChannelModel, PlannerHarness, entry, planner_config
 
+from quillstep.planner.update_budget import UpdateBudget
+
 
 def test_updates_respect_the_message_limit_per_proxy():
     limits = planner_config(max_messages=20, message_window_ms=10000.0)
@@ -52,6 +55,37 @@
     assert channel.max_queued_lines <= 5400.0
 
 
+@pytest.mark.parametrize("stands_still_s", [2, 4, 8])
+def test_a_channel_that_stands_still_stays_within_its_limit(stands_still_s):
+    # Rule on the backlog: lines must not count as sent because time has passed.
+    limits = planner_config(channel_lines_per_s=3000.0, max_queued_lines=4500.0)
+    harness = PlannerHarness(limits, [entry(number) for number in range(40)], 80)
+    channel, draw = ChannelModel(harness, 1.0), Random(5).random
+    for step in range(300):
+        channel.rate_factor = 0.0 if 100 <= step < 100 + 10 * stands_still_s else 1.0
+        streams = [(number, True, "b", 5.0, False) for number in range(50)] if step in (95, 115, 135, 155) else []
+        drained = [("partial", [entry(step // 5, state="terminated")])] if step % 5 == 0 and step < 150 else []
+        checks = [(number, True, 5.0, {"util": draw()}) for number in list(harness.fleet.endpoints)]
+        channel.observe(
+            100.0, proxy_streams=streams, endpoint_lists=drained, health_checks=checks if step % 10 == 0 else []
+        )
+    assert channel.max_queued_lines <= 4500.0
+    assert all(proxy.has_calendar for proxy in harness.fleet.proxies.values())
+
+
+def test_an_ack_of_an_old_request_proves_nothing_of_a_newer_one():
+    # Serials came round again while a slow channel still held the messages of the earlier request.
+    budget, requested = UpdateBudget(planner_config()), []
+    output = SimpleNamespace(request_ack=requested.append)
+    for _ in range(200):
+        written_before = budget.written_lines
+        budget.written_lines += 20
+        budget.request_ack(written_before, 1, output)
+    budget.apply_acks(requested[:1], 1000.0)
+    budget.estimate_sent(1000.0)
+    assert budget.queued_lines == 199 * 21
+
+
 @pytest.mark.parametrize(
     "absent", [{"channel_lines_per_s": 0.0}, {"drain_grace_ms": 0.0}, {"max_update_delay_ms": 0.0}]
 )
