Give each ack request a serial of its own, so that late acks prove nothing of newer messages

One cause: serials came round again after 64 requests, which a crowded channel still holds; the late ack then counted for the newest request and thousands of queued lines as sent. Serials now run through the 65,536 that the protocol allows. Requests whose messages are proven are dropped, and a proxy is expected to acknowledge its 64 newest ones, so memory stays bounded.

--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -10,7 +10,7 @@
 from quillstep.planner.messages import PlannerConfig, PlannerOutput
 
 ASSUMED_RATE_FRACTION = 0.5  # sending rate assumed since the last ack, divided by the configured channel rate
-MAX_ACK_SERIALS = 64  # serials are reused after this many ack requests
+MAX_ACK_SERIALS = 65536  # serials are reused after this many ack requests; the protocol allows no more
 # Fractions of the channel's limit of queued lines, by kind of update.
 MAX_QUEUE_FRACTION = 0.93  # all updates together
 JOIN_QUEUE_FRACTION = 0.5  # table assignments
@@ -26,6 +26,7 @@
 
     sent_lines: float
     lines_per_message: float
+    end_lines: float  # written lines up to and including these messages
 
 
 class UpdateBudget:
@@ -66,7 +67,7 @@
             update = self.in_flight.get(serial)
             if update is None:
                 continue
-            update.sent_lines += update.lines_per_message
+            update.sent_lines = min(update.end_lines, update.sent_lines + update.lines_per_message)
             if update.sent_lines > self._acked_lines:
                 self._acked_lines = min(self.written_lines, update.sent_lines)
                 self._acked_ms = now_ms
@@ -77,6 +78,14 @@
             self._acked_lines, self._acked_ms = self.written_lines, now_ms
         since_ack = self._assumed_lines_per_ms * (now_ms - self._acked_ms)
         self.sent_lines = min(self.written_lines, self._acked_lines + since_ack)
+        self._forget_proven()
+
+    def _forget_proven(self) -> None:
+        """Drops the ack requests whose messages are proven to be sent: further acks of them prove nothing new."""
+        for serial, update in list(self.in_flight.items()):
+            if update.end_lines > self._acked_lines:
+                return
+            del self.in_flight[serial]
 
     def is_congested(self) -> bool:
         """Whether the queue is too long for any change to be written."""
@@ -113,5 +122,7 @@
         """
         self.written_lines += messages  # the ack request adds a line to each message
         self._serial = (self._serial + 1) % MAX_ACK_SERIALS
-        self.in_flight[self._serial] = InFlightUpdate(sent_lines, (self.written_lines - sent_lines) / messages)
+        self.in_flight[self._serial] = InFlightUpdate(
+            sent_lines, (self.written_lines - sent_lines) / messages, self.written_lines
+        )
         output.request_ack(self._serial)
--- a/quillstep/platform/protocol/updates.py
+++ b/quillstep/platform/protocol/updates.py
@@ -9,6 +9,8 @@
     UpdateEncoder,
 )
 
+MAX_REQUESTED_ACKS = 64  # per proxy; a proxy acknowledges in order, so older ones are lost
+
 
 class ProxyStream:
     """State that a proxy has been sent on its stream."""
@@ -18,7 +20,13 @@
     def __init__(self) -> None:
         self.assignments: TableAssignments = ()
         self.ejected: frozenset[str] = frozenset()
-        self.requested_acks: set[int] = set()
+        self.requested_acks: dict[int, None] = {}  # serials, oldest first
+
+    def request_ack(self, serial: int) -> None:
+        """Expect an ack of this serial, and no longer one of the oldest if too many are missing."""
+        self.requested_acks[serial] = None
+        if len(self.requested_acks) > MAX_REQUESTED_ACKS:
+            del self.requested_acks[next(iter(self.requested_acks))]
 
 
 class ProtocolOutput:
@@ -67,7 +75,7 @@
         stream = self.proxies.get(proxy)
         if stream is None or serial not in stream.requested_acks:
             return False
-        stream.requested_acks.discard(serial)
+        del stream.requested_acks[serial]
         return True
 
     # PlannerOutput
@@ -137,7 +145,7 @@
             if update:
                 updates.append((proxy, update))
                 if self.ack_serial is not None:
-                    stream.requested_acks.add(self.ack_serial)
+                    stream.request_ack(self.ack_serial)
         self._begin_interval()
         return updates
 
