Hold the backlog limit by what acks prove, not by the time that has passed

Cause: half of the channel's rate counted as sent as long as no ack came, so a channel that stood still, or whose acks were late, looked empty and was filled again. The limit now holds for the lines that no ack has proven, for every kind of update; the estimate still spaces joins and ordinary changes. If no ack comes for 10 s, as when all proxies have left, a tenth of the rate counts as sent, so that the channel does not stay full for good.

--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -93,7 +93,11 @@
         fleet, budget, assigner = self.fleet, self.budget, self.assigner
         budget.estimate_sent(now_ms)
         # Messages to all proxies are spaced out: failures that arrive one by one must not use up the message limit.
-        may_message_all = not budget.is_congested() and now_ms >= self._published_ms + budget.min_message_gap_ms
+        may_message_all = (
+            not budget.is_congested()
+            and now_ms >= self._published_ms + budget.min_message_gap_ms
+            and budget.fits_limit(self._fixed_lines())
+        )
         written_before = budget.written_lines
         without_endpoint = assigner.proxies_without_usable_endpoint()
         messages = assigner.assign_subsets(without_endpoint, output)
@@ -109,6 +113,11 @@
         if messages:
             budget.request_ack(written_before, messages, output)
 
+    def _fixed_lines(self) -> float:
+        """Returns the lines of messages to all proxies besides those of endpoints: heads, acks and admission."""
+        fleet = self.fleet
+        return len(fleet.proxies) * (self.budget.lines_per_message + 1 + len(fleet.classes))
+
     def _schedule_retry(self, now_ms: float, output: PlannerOutput) -> None:
         """Requests an early control interval if urgent changes or assignments are still pending."""
         is_pending = self.fleet.has_urgent_change or not self.fleet.all_proxies_have_calendar()
@@ -145,7 +154,8 @@
             cost = self._line_cost(change, audience)
             if cost and not is_urgent and not is_interval_due:
                 continue
-            if queued + written.lines + cost > (max_urgent if is_urgent else max_ordinary):
+            is_over_limit = not budget.fits_limit(self._fixed_lines() + written.lines + cost)
+            if is_over_limit or queued + written.lines + cost > (max_urgent if is_urgent else max_ordinary):
                 fleet.has_urgent_change |= is_urgent  # retried at the next early control interval
                 continue
             self._add_to_written(change, cost, audience, written)
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -10,6 +10,10 @@
 from quillstep.planner.messages import PlannerConfig, PlannerOutput
 
 ASSUMED_RATE_FRACTION = 0.5  # sending rate assumed since the last ack, divided by the configured channel rate
+# Without any ack for MAX_ACK_SILENCE_MS, the proxies that should acknowledge may all have left: the channel is then
+# taken to send at this fraction of its configured rate, so that it does not count as full for good.
+SILENT_RATE_FRACTION = 0.1
+MAX_ACK_SILENCE_MS = 10_000.0
 MAX_ACK_SERIALS = 65536  # serials are reused after this many ack requests; the protocol allows no more
 # Fractions of the channel's limit of queued lines, by kind of update.
 MAX_QUEUE_FRACTION = 0.93  # all updates together
@@ -45,6 +49,9 @@
         self._acked_ms = 0.0
         self._serial = 0
         self._assumed_lines_per_ms = ASSUMED_RATE_FRACTION * config.channel_lines_per_s / 1000.0
+        self._silent_lines_per_ms = SILENT_RATE_FRACTION * config.channel_lines_per_s / 1000.0
+        self._proven_lines = 0.0  # lines that acks prove to be sent, or that count as sent after a long silence
+        self._proven_ms = 0.0  # when the newest of these was proven
         # A limit that is not configured does not restrict updates.
         self.max_queued_lines = config.max_queued_lines or float("inf")
         self.drain_grace_lines = config.drain_grace_ms * config.channel_lines_per_s / 1000.0 or float("inf")
@@ -58,6 +65,13 @@
         """Estimated lines that are queued in the channel."""
         return self.written_lines - self.sent_lines
 
+    def fits_limit(self, lines: float) -> bool:
+        """Whether this many more lines keep the channel within its limit, whatever rate it has been sending at.
+
+        Only lines that acks prove to be sent count as sent here: a channel that is slow or stands still sends no acks.
+        """
+        return self._unproven_lines + lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
+
     def apply_acks(self, serials: list[int], now_ms: float) -> None:
         """Applies acks, one per proxy and message.
 
@@ -71,33 +85,54 @@
             if update.sent_lines > self._acked_lines:
                 self._acked_lines = min(self.written_lines, update.sent_lines)
                 self._acked_ms = now_ms
+            if update.sent_lines > self._proven_lines:
+                self._proven_lines = min(self.written_lines, update.sent_lines)
+                self._proven_ms = now_ms
 
     def estimate_sent(self, now_ms: float) -> None:
         """Updates `sent_lines` from the acks, and from the assumed sending rate since the newest of them."""
         if self.sent_lines >= self.written_lines:
             self._acked_lines, self._acked_ms = self.written_lines, now_ms
-        since_ack = self._assumed_lines_per_ms * (now_ms - self._acked_ms)
-        self.sent_lines = min(self.written_lines, self._acked_lines + since_ack)
+        since_ack_ms = now_ms - self._acked_ms
+        self.sent_lines = min(self.written_lines, self._acked_lines + self._assumed_lines_per_ms * since_ack_ms)
+        self._release_after_silence(now_ms)
         self._forget_proven()
 
+    def _release_after_silence(self, now_ms: float) -> None:
+        if self._proven_lines >= self.written_lines:
+            self._proven_ms = now_ms
+        silence_ms = now_ms - self._proven_ms - MAX_ACK_SILENCE_MS
+        if silence_ms > 0.0:
+            self._proven_lines = min(self.written_lines, self._proven_lines + self._silent_lines_per_ms * silence_ms)
+            self._proven_ms += silence_ms
+
     def _forget_proven(self) -> None:
         """Drops the ack requests whose messages are proven to be sent: further acks of them prove nothing new."""
-        for serial, update in list(self.in_flight.items()):
-            if update.end_lines > self._acked_lines:
+        while self.in_flight:
+            oldest = next(iter(self.in_flight))
+            if self.in_flight[oldest].end_lines > self._proven_lines:
                 return
-            del self.in_flight[serial]
+            del self.in_flight[oldest]
 
     def is_congested(self) -> bool:
         """Whether the queue is too long for any change to be written."""
         return self.queued_lines > JOIN_QUEUE_FRACTION * self.max_queued_lines
 
+    @property
+    def _unproven_lines(self) -> float:
+        """Lines that may still be queued in the channel, for all that acks prove."""
+        return self.written_lines - self._proven_lines
+
     def has_capacity_for_assignment(self, expected_lines: float) -> bool:
         """Whether one more proxy may be assigned tables; an empty channel accepts an assignment of any size.
 
         The queue is limited to the lines sent before an ack arrives, because a drain may have to wait behind it.
         """
         window = min(JOIN_QUEUE_FRACTION * self.max_queued_lines, self.ack_delay_lines)
-        return not (self.sent_lines < self.written_lines and self.queued_lines + expected_lines > window)
+        if not self._unproven_lines:
+            return True
+        is_empty = self.sent_lines >= self.written_lines
+        return (is_empty or self.queued_lines + expected_lines <= window) and self.fits_limit(expected_lines)
 
     def max_urgent_lines(self, subsets_pending: bool) -> float:
         """Returns the limit of queued lines for urgent changes; lower while subsets wait for the channel."""
