Write a generation's manifest whole when the file system takes it in parts

Seen: after a short write, a truncated manifest was renamed into place, and the proxy rejected the generation as malformed. The return value of os.write was ignored.

--- a/quillstep/files/disk.py
+++ b/quillstep/files/disk.py
@@ -229,9 +229,7 @@
         temporary = f"{TEMPORARY_PREFIX}{threading.get_native_id()}-{file.digest}"
         fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_NOFOLLOW, 0o644, dir_fd=self.objects_fd)
         try:
-            view = memoryview(file.data)
-            while view:
-                view = view[os.write(fd, view) :]
+            _write_all(fd, file.data)
         except OSError:
             with contextlib.suppress(OSError):
                 os.unlink(temporary, dir_fd=self.objects_fd)
@@ -294,7 +292,7 @@
             self.step("links")
             fd = os.open(MANIFEST, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_NOFOLLOW, 0o644, dir_fd=directory_fd)
             try:
-                os.write(fd, manifest)
+                _write_all(fd, manifest)
             finally:
                 os.close(fd)
             self.step("manifest")
@@ -380,6 +378,13 @@
     return int(name) if name.isdigit() else 0
 
 
+def _write_all(fd: int, data: bytes) -> None:
+    """Writes all data; a single write may be short."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
 def _stamp(status: os.stat_result) -> Stamp:
     return Stamp(status.st_mtime_ns, status.st_size, status.st_ino)
 
