Write objects again after a sync that failed

Seen: after a failed syncfs, the next generation linked the objects of the failed one without writing them; the kernel may have dropped their pages, and the next sync succeeds without them. The objects written since the last good sync are now removed and written again.

--- a/quillstep/files/disk.py
+++ b/quillstep/files/disk.py
@@ -125,6 +125,7 @@
             raise UnusableFileError(f"{root}: locked by another controller") from error
         self.objects_fd = _ensure_directory(".objects", self.fd)
         self.object_names: set[str] = set(_entries(self.objects_fd))
+        self.unsynced_objects: set[str] = set()  # written since the last sync that succeeded
         for name in [name for name in self.object_names if name.startswith(TEMPORARY_PREFIX)]:
             os.unlink(name, dir_fd=self.objects_fd)  # left incomplete by a writer that was killed
             self.object_names.discard(name)
@@ -238,6 +239,7 @@
             os.close(fd)
         os.rename(temporary, file.digest, src_dir_fd=self.objects_fd, dst_dir_fd=self.objects_fd)
         self.object_names.add(file.digest)
+        self.unsynced_objects.add(file.digest)
 
     def swap(self, proxy: str, number: int, files: list[GenerationFile], manifest: bytes, keep: set[int]) -> None:
         """Writes one generation and swaps it in.
@@ -273,12 +275,26 @@
             os.close(generations_fd)
 
     def sync(self) -> None:
-        """Flushes the file system: all prepared generations and all earlier swaps are durable on return."""
+        """Flushes the file system: all prepared generations and all earlier swaps are durable on return.
+
+        Raises:
+            OSError: The sync failed.  The kernel may have dropped the data, and a later sync would succeed without it, so
+                the objects written since the last sync are removed, to be written again.
+        """
         if self.fsync and LIBC.syncfs(self.fd):
             code = ctypes.get_errno()
+            self._discard_unsynced_objects()
             raise OSError(code, os.strerror(code))
+        self.unsynced_objects.clear()
         self.step("synced")
 
+    def _discard_unsynced_objects(self) -> None:
+        for name in self.unsynced_objects:
+            self.object_names.discard(name)
+            with contextlib.suppress(OSError):
+                os.unlink(name, dir_fd=self.objects_fd)
+        self.unsynced_objects.clear()
+
     def _write_generation(self, generations_fd: int, number: int, files: list[GenerationFile], manifest: bytes) -> None:
         """Writes a generation's directory under a temporary name and renames it once it is complete."""
         temporary = f"{TEMPORARY_PREFIX}{number}"
