Tell why a recording stopped when its next segment cannot be opened

Seen: the error that stopped the recording was hidden by a second one (fsync of a closed file, ValueError), the writer's thread ended and stop_reason stayed empty.

--- a/quillstep/recording/writer.py
+++ b/quillstep/recording/writer.py
@@ -3,6 +3,7 @@
 Any failure here stops the recording with a log event, never the controller.
 """
 
+import contextlib
 import os
 import queue
 import threading
@@ -108,15 +109,20 @@
                 begin_s = time.thread_time()
                 if segment is None or segment.tell() > self._segment_bytes:
                     if segment:
-                        segment.close()
+                        full, segment = segment, None  # the next one may fail to open
+                        full.close()
                     segment = self._open_segment()
                 self._write_block(segment, index, records)
                 self.written += len(records)
                 self.cpu_s += time.thread_time() - begin_s
-        finally:
+        except BaseException:
             if segment:
-                os.fsync(segment.fileno())
-                segment.close()
+                with contextlib.suppress(OSError):  # the first error is the reason for the stop
+                    segment.close()
+            raise
+        if segment:
+            os.fsync(segment.fileno())
+            segment.close()
 
     def _open_segment(self) -> BufferedWriter:
         """Opens the next segment and writes its header."""
