--- a/tests/controller/test_start_times.py
+++ b/tests/controller/test_start_times.py
@@ -36,6 +36,20 @@
     assert all(0.0 <= estimated[name] <= true_ages[name] for name in true_ages)
 
 
+@pytest.mark.parametrize("own_step_ms", [0.0, HOUR_MS])
+@pytest.mark.parametrize("listed_step_ms", [-5000.0, -30_000.0, -HOUR_MS])
+def test_a_start_listed_by_a_stepped_clock_does_not_look_older_than_it_is(own_step_ms, listed_step_ms):
+    # All that a controller knows at its start is the list, in which any machine's clock may be wrong.
+    stepped = listed("x", 100.0 - listed_step_ms)
+    assert ages(start_times(own_step_ms), stepped, listed("y", 50.0))["x"] <= 100.0
+
+
+def test_a_start_that_no_step_explains_is_trusted():
+    # Otherwise each restart of a controller would limit a fleet that has been up for days.
+    estimated = ages(start_times(), listed("x", 72 * HOUR_MS), listed("y", 3 * HOUR_MS))
+    assert estimated == {"x": 72 * HOUR_MS, "y": 3 * HOUR_MS}
+
+
 @pytest.mark.parametrize("step_ms", [HOUR_MS, -HOUR_MS])
 def test_one_start_listed_by_a_stepped_clock_makes_no_other_endpoint_look_older(step_ms):
     estimated = ages(start_times(), listed("x", 9000.0), listed("stepped", 2000.0 - step_ms), listed("y", 50.0))
--- a/tests/faults/test_clock_steps.py
+++ b/tests/faults/test_clock_steps.py
@@ -95,6 +95,19 @@
     assert fleet.highest_share("s0", WATCHED_S) < MAX_COLD_SHARE
 
 
+@pytest.mark.parametrize("step_s", [-HOUR_S, -30.0])
+def test_a_successor_does_not_overload_an_endpoint_whose_start_was_listed_by_a_stepped_clock(fleet, step_s):
+    # The successor has only the list to tell the endpoint's age.
+    fleet.start_controller()
+    fleet.connect_proxies()
+    fleet.process.stop()
+    fleet.restart_endpoint("s0", step_s)
+    fleet.restart_endpoint("s1")
+    fleet.start_controller()
+    fleet.connect_proxies()
+    assert fleet.highest_share("s0", WATCHED_S) < MAX_COLD_SHARE
+
+
 @pytest.mark.parametrize("step_s", [HOUR_S, -HOUR_S, -3 * HOUR_S])
 def test_a_start_that_is_listed_by_a_stepped_clock_is_seen(fleet, step_s):
     # The endpoint started hours ago; its machine's clock is stepped before it restarts.
