Believe no age that a step of a clock could explain

A listed start is now believed only if it is over two hours and ten minutes old, which steps by an hour of this clock and of the endpoint's cannot explain; everything younger counts from when it was first seen.

--- a/quillstep/controller/start_times.py
+++ b/quillstep/controller/start_times.py
@@ -2,9 +2,8 @@
 
 The wall clock of any machine may be stepped, so a listed time alone proves no age: an endpoint that is taken for warm
 too early would be overloaded.  An endpoint therefore counts from the moment at which this controller first saw it, or
-saw its listed start change.  Only what is known when the controller starts may be older: by as much as this machine's
-clock and the newest listed start both confirm.  An estimate that is too young limits a warm endpoint for one warm-up
-at most.  Performs no I/O.
+saw its listed start change.  Only an age that no step explains is believed.  An estimate that is too young limits a
+warm endpoint for one warm-up at most.  Performs no I/O.
 """
 
 from dataclasses import dataclass
@@ -13,6 +12,9 @@
 from quillstep.planner.messages import EndpointEntry, EndpointId
 
 STARTED_LONG_AGO = 0.0  # both as a listed and as an estimated start
+MAX_CLOCK_STEP_MS = 3_600_000.0
+# This machine's clock and the one that listed the start may both have been stepped; a warm-up takes less than the rest.
+MIN_BELIEVED_AGE_MS = 2.0 * MAX_CLOCK_STEP_MS + 600_000.0
 
 
 class ListedEndpoint(NamedTuple):
@@ -50,14 +52,11 @@
 
     def to_entries(self, listed: list[ListedEndpoint], is_complete: bool, now_ms: float) -> list[EndpointEntry]:
         """Convert an endpoint list, or changes to one, to the planner's entries; `now_ms` is the monotonic time."""
-        newest_unix_ms = max((each.started_unix_ms for each in listed), default=0.0)
-        is_first = not self.known
         entries = []
         for each in listed:
             known = self.known.get(each.endpoint)
             if known is None or each.started_unix_ms != known.listed_unix_ms:
-                age_ms = self._confirmed_age_ms(each, newest_unix_ms, now_ms) if is_first else 0.0
-                started_ms = now_ms - age_ms if each.started_unix_ms else STARTED_LONG_AGO
+                started_ms = self._estimated_start_ms(each, known is not None, now_ms)
                 known = self.known[each.endpoint] = KnownStart(each.started_unix_ms, started_ms)
             known.removed_ms = now_ms if each.state == "terminated" else None
             entries.append(EndpointEntry(each.endpoint, each.zone, each.state, each.weight, known.started_ms))
@@ -66,11 +65,11 @@
         self._forget_removed(now_ms)
         return entries
 
-    def _confirmed_age_ms(self, listed: ListedEndpoint, newest_unix_ms: float, now_ms: float) -> float:
-        """Return the age that this machine's clock and the newest listed start both confirm; a step affects one."""
-        by_own_clock_ms = now_ms - (listed.started_unix_ms + self.clock_offset_ms)
-        by_newest_start_ms = newest_unix_ms - listed.started_unix_ms
-        return max(0.0, min(by_own_clock_ms, by_newest_start_ms))
+    def _estimated_start_ms(self, listed: ListedEndpoint, has_restarted: bool, now_ms: float) -> float:
+        if not listed.started_unix_ms:
+            return STARTED_LONG_AGO
+        started_ms = listed.started_unix_ms + self.clock_offset_ms
+        return now_ms if has_restarted or now_ms - started_ms < MIN_BELIEVED_AGE_MS else started_ms
 
     def _mark_removed(self, listed: set[EndpointId], now_ms: float) -> None:
         for endpoint, known in self.known.items():
