--- a/tests/compatibility/producers.py
+++ b/tests/compatibility/producers.py
@@ -340,7 +340,12 @@
     except configuration.ConfigurationError as error:
         return str(error).replace(f"{path.parent}/", "")
     message = {"revision": file.initial_list.revision, "complete": True, "members": file.initial_list.members}
-    initial = endpoint_list.parse_endpoint_list(message, 5000.0, "persisted")
+    initial = endpoint_list.parse_endpoint_list(message, "persisted")
+    # The stored values are listed starts plus this offset; 0, for an endpoint that started long ago, has none.
+    entries = [
+        each._replace(started_unix_ms=each.started_unix_ms + 5000.0 if each.started_unix_ms else 0.0)
+        for each in initial.entries
+    ]
     return to_json_values({
         "start": list(dataclasses.astuple(config.planner)),
         "rest": [
@@ -349,7 +354,7 @@
             config.batch_window_ms, config.health_check_timeout_ms, config.health_check_path,
         ],
         "list": [
-            initial.kind, initial.entries, initial.addresses, initial.revision, initial.rejected, initial.is_complete
+            initial.kind, entries, initial.addresses, initial.revision, initial.rejected, initial.is_complete
         ],
         "seed": configuration.parse_seed(file.seed),
     })  # fmt: skip
