--- a/quillstep/files/watcher.py
+++ b/quillstep/files/watcher.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 import structlog
 
@@ -13,6 +14,15 @@
 
 ALIVE_INTERVAL_SHARE = 0.1  # interval between two updates of the alive file, as a share of the idle timeout
 TIMESTAMP_AMBIGUITY_MS = 100.0  # within this time, a directory may change twice under the same time stamp
+CLOCK_TOLERANCE_MS = 1000.0
+
+
+class SeenStamp(NamedTuple):
+    """A directory's stamp, and when it was first seen on the monotonic clock."""
+
+    stamp: Stamp | None
+    seen_ms: float
+    is_settled: bool = False  # later changes have another stamp
 
 
 class DirectoryWatcher:
@@ -25,7 +35,9 @@
     def __init__(self, disk: Disk, settings: FileSettings, put: Callable[[FileEvent], None]) -> None:
         self.disk, self.settings, self.put = disk, settings, put
         self.stopping = threading.Event()
-        self.stamps: dict[tuple[str, str], Stamp | None] = {}  # by directory and name; "" is the directory itself
+        self.stamps: dict[tuple[str, str], Stamp | None] = {}  # by directory and name
+        self.directory_stamps: dict[str, SeenStamp] = {}
+        self.has_scanned = False  # all directories were polled once: what changes from now on is recent
         self.errors: dict[str, str] = {}  # the error logged last, by directory
         self.log = structlog.get_logger("files")
 
@@ -48,6 +60,7 @@
                     touched_ms = time.monotonic() * 1000.0
                 for directory in self.disk.proxies():
                     self._poll(directory)
+                self.has_scanned = True
             except OSError as error:
                 self._log_once("", str(error))
 
@@ -61,12 +74,17 @@
             self._log_once(directory, str(error))
 
     def _may_have_changed(self, directory: str) -> bool:
-        """Compares the directory's stamp; a recent one is not trusted, as another change may have the same."""
-        stamp = self.disk.stamp(directory, "")
-        is_settled = stamp is not None and _age_ms(stamp) > TIMESTAMP_AMBIGUITY_MS
-        is_unchanged = is_settled and self.stamps.get((directory, "")) == stamp
-        self.stamps[directory, ""] = stamp if is_settled else None
-        return not is_unchanged
+        """Compares the directory's stamp; a new one is not trusted, as another change may have the same."""
+        stamp, before = self.disk.stamp(directory, ""), self.directory_stamps.get(directory)
+        now_ms = time.monotonic() * 1000.0
+        if stamp is None or before is None or before.stamp != stamp:
+            self.directory_stamps[directory] = SeenStamp(stamp, now_ms)
+            return True
+        if before.is_settled:
+            return False
+        is_settled = now_ms - before.seen_ms > TIMESTAMP_AMBIGUITY_MS
+        self.directory_stamps[directory] = before._replace(is_settled=is_settled)
+        return True
 
     def _poll_file(self, directory: str, name: str) -> None:
         if self.disk.stamp(directory, name) == self.stamps.get((directory, name)):
@@ -74,7 +92,7 @@
         file = self.disk.read(name, directory)
         self.stamps[directory, name] = file.stamp if file else None
         if file:
-            age_ms = _age_ms(file.stamp)
+            age_ms = 0.0 if self.has_scanned else _age_ms(file.stamp)
             if name == HELLO:
                 self.put(RegistrationRead(directory, read_registration(self.disk, directory, file.data), age_ms))
             else:
@@ -98,4 +116,6 @@
 
 
 def _age_ms(stamp: Stamp) -> float:
-    return time.time() * 1000.0 - stamp.modified_ns / 1e6
+    """Return the age of a file by the wall clock; infinity if it is dated in the future, as the clock was stepped."""
+    age_ms = time.time() * 1000.0 - stamp.modified_ns / 1e6
+    return age_ms if age_ms >= -CLOCK_TOLERANCE_MS else float("inf")
