--- a/tests/faults/test_failing_folders.py
+++ b/tests/faults/test_failing_folders.py
@@ -2,18 +2,28 @@
 
 import errno
 import os
+import threading
 import time
 
+import lmdb
 import pytest
 from file_generations import sample_generation
 from memory_fleet import MemoryController
 
+from quillstep.cli import tables as tables_module
+from quillstep.cli.tables import TableStore
+from quillstep.config.controller import StoreSettings
 from quillstep.controller.socket_record import SocketRecord
+from quillstep.controller.update_release import UpdateRelease
 from quillstep.files import disk as disk_module
 from quillstep.files.disk import Disk
 from quillstep.files.proxy_generations import Generation, PendingGeneration
 from quillstep.files.writer import GenerationWriter
 from quillstep.recording.writer import RecordingWriter
+from quillstep.routing.versions import TableVersion
+from quillstep.store.events import StoreUnavailable, UpdatesStored
+from quillstep.store.records import OPERATOR_COMMANDS
+from quillstep.store.writer import StoreWriter, open_store
 from quillstep.testbed.file_subscriber import read_generation
 
 
@@ -110,3 +120,78 @@
     recording.put(["step", 2.0, 2.0, []])
     recording.close()
     assert "No space left" in recording.stop_reason and original
+
+
+class FailingDisk:
+    """Makes the commits of a store fail while `is_failing` is set."""
+
+    def __init__(self):
+        self.is_failing, self.failures = True, 0
+
+    def __call__(self, step):
+        if step == "before commit" and self.is_failing:
+            self.failures += 1
+            raise lmdb.DiskError("No space left on device")
+
+
+def wait_until(condition, seconds=20.0):
+    deadline_s = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
+
+
+def test_what_was_submitted_to_a_store_is_written_once_its_disk_works_again(tmp_path):
+    settings = StoreSettings(folder=str(tmp_path / "s"), operator_poll_interval_ms=5.0)
+    store = open_store(settings)
+    disk, events = FailingDisk(), []
+    store.on_step = disk
+    writer = StoreWriter(settings, store, "e", events.append)
+    thread = threading.Thread(target=writer.run)
+    thread.start()
+    version = TableVersion("v1", 0, "", "module", "", 0.0, 1, {1: 10.0}, {0: (5.0, 1)})
+    writer.submit(1, [writer.version_entry(version, 7.0), writer.pin_entry(version, 7.0)])
+    wait_until(lambda: disk.failures >= 3)
+    writer.submit(2, [writer.version_entry(version._replace(name="v2"), 8.0)])
+    assert writer.failure and not any(isinstance(event, UpdatesStored) for event in events)
+    disk.is_failing = False
+    wait_until(lambda: UpdatesStored(2) in events)
+    writer.stop()
+    thread.join(20.0)
+    assert sum(isinstance(event, StoreUnavailable) for event in events) == 1 and not writer.failure
+    recovered = StoreWriter(settings, open_store(settings), "f", events.append).opened_event()
+    assert [version[0] for version in recovered.versions] == ["v1", "v2"] and len(recovered.pins) == 1
+
+
+def test_updates_wait_for_a_store_that_works_again():
+    release = UpdateRelease(True, 500.0)
+    release.record_durable(5)
+    release.record_store_lost()
+    assert release.durable_revision == float("inf")
+    release.record_durable(7)
+    assert release.durable_revision == 7
+
+
+def test_commands_of_operators_keep_their_order_when_the_clock_is_set_back(tmp_path, monkeypatch):
+    settings = StoreSettings(folder=str(tmp_path / "s"))
+    store = open_store(settings)
+    tables = TableStore.__new__(TableStore)
+    tables.store = store
+    monkeypatch.setattr(tables_module, "MAX_ACCEPT_S", 0.0)
+    now_ns = time.time_ns()
+    for name, at_ns in (("first", now_ns), ("second", now_ns - 3600 * 10**9), ("third", now_ns)):
+        monkeypatch.setattr(time, "time_ns", lambda at_ns=at_ns: at_ns)
+        tables.request("pin", [(0, name)])
+    assert [row.targets[0][1] for _, row in store.rows(OPERATOR_COMMANDS)] == ["first", "second", "third"]
+
+
+def test_no_version_is_dropped_early_when_the_clock_is_an_hour_ahead(tmp_path, monkeypatch):
+    settings = StoreSettings(folder=str(tmp_path / "s"), keep_hours=2.0)
+    writer = StoreWriter(settings, open_store(settings), "e", lambda event: None)
+    real = time.time
+    for number in range(3):
+        version = TableVersion(f"v{number}", 0, "", "module", "", 0.0, number, {1: 10.0}, {0: (5.0, 1)})
+        writer.store.write([writer.version_entry(version, (real() - 1.5 * 3600.0) * 1000.0)])
+    monkeypatch.setattr(time, "time", lambda: real() + 3600.0)
+    writer._apply_retention()
+    assert len(writer.store.versions(0)) == 3
