Keep the order of operators' commands when the clock is set back

Commands are executed by their keys, which were Unix times: after a step back a later command overtook earlier ones, and one with the same time replaced another. A key is now above all that wait. The test failed before: two of three commands left, in the wrong order.

--- a/quillstep/cli/tables.py
+++ b/quillstep/cli/tables.py
@@ -111,7 +111,8 @@
         Returns:
             What is printed: the command, its targets, and whether it was accepted in time.
         """
-        key = number_key(time.time_ns())
+        # The clock may have been set back since the last command: commands are executed in the order of their keys.
+        key = number_key(max(time.time_ns(), self.store.last_number(OPERATOR_COMMANDS, b"") + 1))
         command = OperatorCommand(kind, targets, getpass.getuser(), time.time() * 1000.0)
         try:
             self.store.write([Entry(OPERATOR_COMMANDS, key, command)])
