Write what a store was given once its disk works again, and set no store aside for an I/O error

Seen: one failed commit (ENOSPC, EIO) ended the store for the life of the process; pins and versions that had been taken on were lost, and updates never waited for durability again. One event when it fails, one when it works again. Related: an EIO while opening passed for corruption, and a sound store was renamed aside; it now raises StoreDiskError.

--- a/quillstep/controller/update_release.py
+++ b/quillstep/controller/update_release.py
@@ -21,6 +21,7 @@
     def __init__(self, has_store: bool, max_wait_ms: float) -> None:
         self.durable_revision = 0.0 if has_store else float("inf")
         self.max_wait_ms = max_wait_ms
+        self._is_store_lost = False
         self.late_count = 0
         self._urgent_revisions: deque[int] = deque(maxlen=MAX_URGENT_REVISIONS)
         self._waiting: deque[tuple[ProxyUpdate, float]] = deque()  # updates, and when each left the channel
@@ -30,12 +31,13 @@
         self._urgent_revisions.append(revision)
 
     def record_durable(self, revision: int) -> None:
-        """Records that all updates up to a revision are durable."""
-        self.durable_revision = max(self.durable_revision, revision)
+        """Records that all updates up to a revision are durable; updates wait for the store again if it had failed."""
+        self.durable_revision = revision if self._is_store_lost else max(self.durable_revision, revision)
+        self._is_store_lost = False
 
     def record_store_lost(self) -> None:
-        """Stops waiting for the store, after it failed."""
-        self.durable_revision = float("inf")
+        """Stops waiting for the store, until it works again."""
+        self.durable_revision, self._is_store_lost = float("inf"), True
 
     def release_due(self, channel: UpdateChannel, tables: Tables, now_ms: float) -> None:
         """Releases the updates that have left the channel by now and need not wait any longer."""
--- a/quillstep/store/errors.py
+++ b/quillstep/store/errors.py
@@ -7,6 +7,7 @@
     """A store cannot be used; `reason` is a constant that log events and reports contain."""
 
     reason = "broken"
+    is_retryable = False  # the same write may succeed later
 
 
 class StoreFullError(StoreError):
@@ -15,6 +16,13 @@
     reason = "full"
 
 
+class StoreDiskError(StoreError):
+    """The disk did not take a write or a sync; it may do so later."""
+
+    reason = "disk"
+    is_retryable = True
+
+
 class StoreReadOnlyError(StoreError):
     """The store is read-only."""
 
--- a/quillstep/store/store.py
+++ b/quillstep/store/store.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import errno
+import os
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -18,6 +19,7 @@
     CorruptValueError,
     InvalidExportError,
     StoreCorruptError,
+    StoreDiskError,
     StoreError,
     StoreFullError,
     StoreReadOnlyError,
@@ -43,6 +45,15 @@
 
 SCHEMA_KEY = number_key(0)
 MAX_READERS = 64
+MOMENTARY_ERRORS = (
+    errno.EIO,
+    errno.ENOSPC,
+    errno.EDQUOT,
+    errno.ENOMEM,
+    errno.EAGAIN,
+    errno.EMFILE,
+    errno.ENFILE,
+)
 DEFAULT_MAX_SIZE_BYTES = 2**30
 
 
@@ -68,14 +79,18 @@
         on_step: Callable[[str], None] = ignore_step,
     ) -> None:
         self.folder, self.on_step = Path(folder), on_step
-        with self._errors_at_opening(max_size_bytes):
+        self.max_size_bytes, self.fsync = max_size_bytes, fsync
+        self._open(write)
+
+    def _open(self, write: bool) -> None:
+        with self._errors_at_opening(self.max_size_bytes):
             if write:
                 self.folder.mkdir(parents=True, exist_ok=True)
             self.env = lmdb.open(
                 str(self.folder),
-                map_size=max_size_bytes,
+                map_size=self.max_size_bytes,
                 max_dbs=len(PARTS),
-                sync=fsync,
+                sync=self.fsync,
                 readonly=not write,
                 create=write,
                 max_readers=MAX_READERS,
@@ -91,6 +106,15 @@
         """Closes the environment."""
         self.env.close()
 
+    def reopen(self) -> None:
+        """Opens the environment anew after a write has failed: what the failed sync has lost is not taken as stored.
+
+        Raises:
+            StoreError: The store cannot be opened; the subclass gives the cause.
+        """
+        self.env.close()
+        self._open(write=True)
+
     @contextlib.contextmanager
     def _errors_at_opening(self, max_size_bytes: int) -> Iterator[None]:
         """Converts errors raised while the store is opened to a StoreError."""
@@ -101,12 +125,11 @@
         except (lmdb.ReadonlyError, PermissionError) as error:
             raise StoreReadOnlyError(f"{self.folder}: {error}") from error
         except OSError as error:
-            is_read_only = error.errno in (errno.EROFS, errno.EACCES)
-            raise (StoreReadOnlyError if is_read_only else StoreError)(f"{self.folder}: {error}") from error
+            raise _opening_error(error)(f"{self.folder}: {error}") from error
         except lmdb.NotFoundError as error:
             raise StoreCorruptError(f"{self.folder}: a database of the store is missing") from error
         except lmdb.Error as error:
-            raise StoreCorruptError(f"{self.folder}: {error}") from error
+            raise _lmdb_error(error)(f"{self.folder}: {error}") from error
 
     def _check_schema(self, write: bool) -> None:
         """Migrates a store of an older schema if it is opened for writing."""
@@ -140,13 +163,13 @@
         """Returns a context manager that yields a read transaction on a snapshot, and the database of a part.
 
         Raises:
-            StoreCorruptError: Pages are corrupt.
+            StoreError: Pages are corrupt, or the disk cannot be read now.
         """
         try:
             with self.env.begin() as txn:
                 yield txn, self.parts[part]
         except lmdb.Error as error:
-            raise StoreCorruptError(f"{self.folder}: {error}") from error
+            raise _lmdb_error(error)(f"{self.folder}: {error}") from error
 
     def rows(self, part: str, prefix: bytes = b"") -> list[tuple[bytes, Any]]:
         """Returns the keys and rows of a part, sorted by key.
@@ -203,10 +226,8 @@
             raise StoreFullError(f"{self.folder}: no room for {len(entries)} more rows") from error
         except lmdb.ReadonlyError as error:
             raise StoreReadOnlyError(f"{self.folder}: {error}") from error
-        except lmdb.DiskError as error:
-            raise StoreFullError(f"{self.folder}: {error}") from error
         except lmdb.Error as error:
-            raise StoreError(f"{self.folder}: {error}") from error
+            raise _lmdb_error(error)(f"{self.folder}: {error}") from error
 
     def apply_retention(self, now_ms: float, max_versions: int, max_age_ms: float, max_journal_rows: int) -> int:
         """Removes the rows that exceed the retention limits; returns how many."""
@@ -279,6 +300,23 @@
         return len(entries)
 
 
+def _opening_error(error: OSError) -> type[StoreError]:
+    if error.errno in (errno.EROFS, errno.EACCES):
+        return StoreReadOnlyError
+    return StoreDiskError if error.errno in MOMENTARY_ERRORS else StoreError
+
+
+def _lmdb_error(error: lmdb.Error) -> type[StoreError]:
+    """Returns the type of an error; one of the disk must not pass for corruption, which sets the store aside."""
+    is_of_disk = isinstance(error, lmdb.DiskError | lmdb.PanicError) or _is_io_error(error)
+    return StoreDiskError if is_of_disk else StoreCorruptError
+
+
+def _is_io_error(error: lmdb.Error) -> bool:
+    """Whether LMDB passed on an error of the system; the library has no type of its own for it."""
+    return any(os.strerror(number) in str(error) for number in MOMENTARY_ERRORS)
+
+
 def rename_corrupt_store(folder: Path) -> Path:
     """Renames the folder of a corrupt store, to free its path for a new one; returns the new path."""
     path = folder.with_name(f"{folder.name}.aside-{time.time_ns()}")
--- a/quillstep/store/writer.py
+++ b/quillstep/store/writer.py
@@ -1,7 +1,8 @@
 """The store writer of a controller: commits submissions of the deciding thread in groups, then reports them durable.
 
 The deciding thread never blocks on the disk; instead, updates are withheld for a limited time until they are durable.
-If the store fails, the failure is logged and the controller continues without a store.
+While the disk does not take writes, the controller continues without waiting for them, and what was submitted is
+written once the disk works again.  If the store fails for good, the controller continues without a store.
 """
 
 import contextlib
@@ -10,6 +11,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from typing import Any, NamedTuple
 
 import structlog
@@ -39,6 +41,7 @@
     PinRow,
     VersionRow,
     number_key,
+    numbers_of,
 )
 from quillstep.store.store import Store, ignore_step, rename_corrupt_store
 
@@ -47,6 +50,8 @@
 MAX_NODE_KEY_BYTES = 400  # below the limit of LMDB, whose keys have at most 511 bytes
 RETENTION_INTERVAL_S = 60.0
 MS_PER_HOUR = 3_600_000.0
+MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.25, 15.0
+MAX_OWED_ENTRIES = 10_000
 INCARNATION_KEY = number_key(0)
 
 
@@ -87,10 +92,15 @@
     ) -> None:
         self.settings, self.store, self.incarnation, self.put = settings, store, incarnation, put
         self.submissions: queue.Queue[Submission] = queue.Queue()
-        self.version_numbers: dict[int, int] = {}  # last number used, by table
+        self.version_numbers = _last_version_numbers(store)  # last number used, by table
         self.journal_number = store.last_number(JOURNAL, b"")
         self.stopping = threading.Event()
         self.failure = ""  # why the store has failed; empty while it works
+        self.is_lost = False  # the store has failed for good
+        self.owed: list[Submission] = []  # taken from the queue and not written yet
+        self.retry_delay_s = MIN_RETRY_DELAY_S
+        self.next_attempt_s = 0.0
+        self._random = Random(incarnation)
         self.published_commands: set[bytes] = set()  # keys of operators' commands sent to the deciding thread
         self.commits, self.commit_ms, self.max_commit_ms, self.skipped_journal_rows = 0, 0.0, 0.0, 0
         self.log = structlog.get_logger("store")
@@ -116,9 +126,7 @@
     def version_entry(self, version: TableVersion, wall_ms: float) -> Entry:
         """Returns the entry of a version, numbered after the last one of its table."""
         table = version.table
-        if table not in self.version_numbers:
-            self.version_numbers[table] = self.store.last_number(VERSIONS, number_key(table))
-        self.version_numbers[table] += 1
+        self.version_numbers[table] = self.version_numbers.get(table, 0) + 1
         row = VersionRow(
             name=version.name,
             table=table,
@@ -139,8 +147,8 @@
         return Entry(ACKNOWLEDGED_UPDATES, node.encode()[:MAX_NODE_KEY_BYTES], row)
 
     def journal_entries(self, revision: int, wall_ms: float, output: list[Any]) -> list[Entry]:
-        """Returns the journal entry of the planner's output in an update; none while the disk is behind."""
-        if self.submissions.qsize() > MAX_QUEUED_SUBMISSIONS:
+        """Returns the journal entry of the planner's output in an update; none while the disk is behind or fails."""
+        if self.failure or self.submissions.qsize() > MAX_QUEUED_SUBMISSIONS:
             self.skipped_journal_rows += 1
             return []
         self.journal_number += 1
@@ -164,21 +172,22 @@
 
     def submit(self, revision: int, entries: list[Entry]) -> None:
         """Submits entries; the revision is reported as durable once they are written."""
-        if not self.failure:
+        if not self.is_lost:
             self.submissions.put(Submission(revision, entries))
 
     # methods of the store's thread
 
     def run(self) -> None:
         """Writes submissions, publishes operators' commands and applies retention until `stop`; closes the store."""
+        incarnation = IncarnationRow(self.incarnation, time.time() * 1000.0)
+        self.owed.append(Submission(0, [Entry(INCARNATIONS, INCARNATION_KEY, incarnation)]))
         try:
-            incarnation = IncarnationRow(self.incarnation, time.time() * 1000.0)
-            self.store.write([Entry(INCARNATIONS, INCARNATION_KEY, incarnation)])
             self._serve()
             incarnation.ended_ms = time.time() * 1000.0
             self.store.write([Entry(INCARNATIONS, INCARNATION_KEY, incarnation)])
         except StoreError as error:
-            self._fail(error)
+            self.is_lost = True
+            self._report_failure(error)
         finally:
             with contextlib.suppress(Exception):
                 self.store.close()
@@ -186,18 +195,48 @@
     def _serve(self) -> None:
         last_poll_s = last_retention_s = 0.0
         while True:
-            group = self._next_group()
-            if group:
-                self._commit(group)
+            self.owed += self._next_group()
+            self._drop_oldest_owed()
+            is_stopping = self.stopping.is_set() and self.submissions.empty()
             now_s = time.monotonic()
-            if now_s - last_poll_s > self.settings.operator_poll_interval_ms / 1000.0:
+            if self.owed and (now_s >= self.next_attempt_s or is_stopping):
+                self._try_to_commit()
+            if not self.failure and now_s - last_poll_s > self.settings.operator_poll_interval_ms / 1000.0:
                 last_poll_s = now_s
                 self._publish_commands()
-            if now_s - last_retention_s > RETENTION_INTERVAL_S:
+            if not self.failure and now_s - last_retention_s > RETENTION_INTERVAL_S:
                 last_retention_s = now_s
                 self._apply_retention()
-            if self.stopping.is_set() and self.submissions.empty():
+            if is_stopping:
+                return
+
+    def _try_to_commit(self) -> None:
+        """Writes what is owed; if the disk does not take it, another attempt follows, with exponential backoff."""
+        try:
+            if self.failure:
+                self.store.reopen()
+            self._commit(self.owed)
+        except StoreError as error:
+            if not error.is_retryable:
+                raise
+            self.next_attempt_s = time.monotonic() + self.retry_delay_s * self._random.uniform(0.5, 1.0)
+            self.retry_delay_s = min(MAX_RETRY_DELAY_S, 2.0 * self.retry_delay_s)
+            self._report_failure(error)
+            return
+        self.owed = []
+        if self.failure:
+            self.failure, self.retry_delay_s = "", MIN_RETRY_DELAY_S
+            self.log.info("store available again")
+
+    def _drop_oldest_owed(self) -> None:
+        """Limits the memory used while the disk fails: of the versions, the oldest are dropped; all else is kept."""
+        surplus = sum(len(submission.entries) for submission in self.owed) - MAX_OWED_ENTRIES
+        for index, submission in enumerate(self.owed):
+            if surplus <= 0:
                 return
+            kept = [entry for entry in submission.entries if entry.part != VERSIONS]
+            surplus -= len(submission.entries) - len(kept)
+            self.owed[index] = submission._replace(entries=kept)
 
     def _next_group(self) -> list[Submission]:
         """Returns the submissions for one commit; waits up to the poll interval for the first."""
@@ -234,13 +273,19 @@
     def _apply_retention(self) -> None:
         settings = self.settings
         max_age_ms = settings.keep_hours * MS_PER_HOUR
-        self.store.apply_retention(time.time() * 1000.0, settings.keep_versions, max_age_ms, settings.keep_orders)
-
-    def _fail(self, error: StoreError) -> None:
-        """Reports the failure; from then on no update waits for the store."""
+        try:
+            self.store.apply_retention(time.time() * 1000.0, settings.keep_versions, max_age_ms, settings.keep_orders)
+        except StoreError as error:
+            if not error.is_retryable:
+                raise
+            self._report_failure(error)
+
+    def _report_failure(self, error: StoreError) -> None:
+        """Reports a failure, once until the store works again; until then no update waits for the store."""
+        if not self.failure or self.is_lost:
+            self.log.error("store unavailable", kind=error.reason, reason=str(error), is_retried=error.is_retryable)
+            self.put(StoreUnavailable(str(error)))
         self.failure = str(error)
-        self.log.error("store unavailable", kind=error.reason, reason=str(error))
-        self.put(StoreUnavailable(str(error)))
 
     # methods of either thread
 
@@ -254,6 +299,14 @@
         return {"commits": self.commits, "mean_ms": round(mean_ms, 3), "worst_ms": round(self.max_commit_ms, 3)}
 
 
+def _last_version_numbers(store: Store) -> dict[int, int]:
+    """Returns the last number of each table's versions; read once, as the store may be reopened later."""
+    numbers: dict[int, int] = {}
+    for key, row in store.rows(VERSIONS):
+        numbers[row.table] = max(numbers.get(row.table, 0), numbers_of(key)[1])
+    return numbers
+
+
 def version_values(row: VersionRow) -> list[Any]:
     """Returns a version as plain values, for the deciding thread and its recording."""
     weights = [list(weight) for weight in row.weights]
--- a/tests/faults/test_failing_folders.py
+++ b/tests/faults/test_failing_folders.py
@@ -21,6 +21,7 @@
 from quillstep.files.writer import GenerationWriter
 from quillstep.recording.writer import RecordingWriter
 from quillstep.routing.versions import TableVersion
+from quillstep.store.errors import StoreDiskError
 from quillstep.store.events import StoreUnavailable, UpdatesStored
 from quillstep.store.records import OPERATOR_COMMANDS
 from quillstep.store.writer import StoreWriter, open_store
@@ -195,3 +196,14 @@
     monkeypatch.setattr(time, "time", lambda: real() + 3600.0)
     writer._apply_retention()
     assert len(writer.store.versions(0)) == 3
+
+
+@pytest.mark.parametrize("message", ["mdb_env_open: Input/output error", "mdb_env_open: No space left on device"])
+def test_a_disk_that_fails_at_the_start_does_not_set_the_store_aside_as_corrupt(tmp_path, monkeypatch, message):
+    settings = StoreSettings(folder=str(tmp_path / "s"))
+    open_store(settings).close()
+    with monkeypatch.context() as patch:
+        patch.setattr(lmdb, "open", lambda *_, **__: (_ for _ in ()).throw(lmdb.Error(message)))
+        with pytest.raises(StoreDiskError):
+            open_store(settings)
+    assert [path.name for path in tmp_path.iterdir()] == ["s"]
