Drop no version early when the wall clock has been stepped forward

Retention compares stored Unix times with the clock; an hour's step dropped versions an hour early. The limit of age now includes the largest step.

--- a/quillstep/store/writer.py
+++ b/quillstep/store/writer.py
@@ -50,6 +50,7 @@
 MAX_NODE_KEY_BYTES = 400  # below the limit of LMDB, whose keys have at most 511 bytes
 RETENTION_INTERVAL_S = 60.0
 MS_PER_HOUR = 3_600_000.0
+MAX_CLOCK_STEP_MS = MS_PER_HOUR
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.25, 15.0
 MAX_OWED_ENTRIES = 10_000
 INCARNATION_KEY = number_key(0)
@@ -272,7 +273,8 @@
 
     def _apply_retention(self) -> None:
         settings = self.settings
-        max_age_ms = settings.keep_hours * MS_PER_HOUR
+        # The wall clock may have been stepped forward since a version was stored.
+        max_age_ms = settings.keep_hours * MS_PER_HOUR + MAX_CLOCK_STEP_MS
         try:
             self.store.apply_retention(time.time() * 1000.0, settings.keep_versions, max_age_ms, settings.keep_orders)
         except StoreError as error:
