--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -5,6 +5,8 @@
 import subprocess
 import sys
 import time
+import tomllib
+from pathlib import Path
 
 import pytest
 from platform_peers import (
@@ -75,6 +77,27 @@
         process.stderr.close()
 
 
+def test_sighup_before_the_first_import_does_not_end_the_process(tmp_path):
+    """The shell that starts the program is the first to receive signals; the interpreter installs its handlers later."""
+    run = tomllib.loads(Path("deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
+    environment = {**os.environ, "BALANCER_CONFIG": str(write_configuration(tmp_path, "127.0.0.1:1", []))}
+    process = subprocess.Popen(
+        ["/bin/sh", "-c", run], stderr=subprocess.PIPE, text=True, env=environment, preexec_fn=kill_when_parent_exits,
+    )  # fmt: skip
+    try:
+        for _ in range(100):
+            time.sleep(0.003)
+            process.send_signal(signal.SIGHUP)
+        assert any("controller ready" in line for line in process.stderr)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+    finally:
+        process.kill()
+        process.wait(WAIT_S)
+        process.stderr.close()
+
+
 def has_no_pending_signal(pid):
     with open(f"/proc/{pid}/status", encoding="ascii") as status:
         return all(int(line.split()[1], 16) == 0 for line in status if line.startswith(("SigPnd", "ShdPnd")))
