--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -78,19 +78,24 @@
 
 
 def test_sighup_before_the_first_import_does_not_end_the_process(tmp_path):
-    """The shell that starts the program is the first to receive signals; the interpreter installs its handlers later."""
+    """The interpreter blocks before the program's first line until the test has sent the signals."""
     run = tomllib.loads(Path("deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
-    environment = {**os.environ, "BALANCER_CONFIG": str(write_configuration(tmp_path, "127.0.0.1:1", []))}
+    gate = tmp_path / "gate"
+    os.mkfifo(gate)
+    (tmp_path / "sitecustomize.py").write_text(f"open({str(gate)!r}).read()\n")
+    path = write_configuration(tmp_path, "127.0.0.1:1", [])
     process = subprocess.Popen(
-        ["/bin/sh", "-c", run], stderr=subprocess.PIPE, text=True, env=environment, preexec_fn=kill_when_parent_exits,
+        ["/bin/sh", "-c", run], stderr=subprocess.PIPE, text=True, preexec_fn=kill_when_parent_exits,
+        env={**os.environ, "BALANCER_CONFIG": str(path), "PYTHONPATH": str(tmp_path)},
     )  # fmt: skip
     try:
-        for _ in range(100):
-            time.sleep(0.003)
-            process.send_signal(signal.SIGHUP)
+        with open(gate, "w"):  # opens once the interpreter blocks
+            for _ in range(10):
+                process.send_signal(signal.SIGHUP)
+            wait_until(lambda: process.poll() is not None or has_no_pending_signal(process.pid), "the delivery")
         assert any("controller ready" in line for line in process.stderr)
-        process.send_signal(signal.SIGHUP)
-        process.send_signal(signal.SIGTERM)
+        for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(number)
         assert process.wait(WAIT_S) == 0
     finally:
         process.kill()
