--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -59,3 +59,19 @@
         steps.serve_ready()
     assert not connection.is_closed and len(steps.manager.collectors) == 2
     assert [type(event) for event in steps.events] == [UpstreamStats] * 4
+
+
+def test_closes_for_lengths_of_all_kinds_are_counted_under_one_reason():
+    # Counters by reason grow without bound if the reason contains what a stranger has sent.
+    steps = SteppedConnections()
+    try:
+        for length in range(2**24, 2**24 + 20):
+            steps.connect(length.to_bytes(4, "big") + b"{")
+        for _ in range(3):
+            steps.poller.accept()
+            wait_until(lambda: steps.readable() or not steps.poller.connections, "the lengths")
+            steps.serve_ready()
+        assert sum(steps.manager.closed_unregistered.values()) == 20 and len(steps.manager.closed_unregistered) == 1
+        assert len(steps.manager.last_logged_ms) == 1
+    finally:
+        steps.close()
