Count closes of strangers by kind, so that the counters stay few

closed_unregistered had one key for each length that a stranger sent, and the log one topic: memory without bound. The part of a reason before the colon counts now, the log line keeps the whole.

--- a/quillstep/platform/protocol/connections.py
+++ b/quillstep/platform/protocol/connections.py
@@ -106,9 +106,10 @@
             self.log.info("proxy disconnected", proxy=proxy, reason=reason)
             self.publish(ProxyDisconnected(connection, proxy))
         elif self.collectors.pop(connection, None) is None:
-            self.closed_unregistered[reason] += 1
-            if self._is_log_due(f"closed: {reason}"):
-                self.log.info("unregistered connection closed", reason=reason, closed=self.closed_unregistered[reason])
+            kind = reason.partition(":")[0]  # without what the peer has sent, so that the counters stay few
+            self.closed_unregistered[kind] += 1
+            if self._is_log_due(f"closed: {kind}"):
+                self.log.info("unregistered connection closed", reason=reason, closed=self.closed_unregistered[kind])
         else:
             self.log.info("collector disconnected", reason=reason)
 
