--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -78,6 +78,7 @@
     def __init__(self, folder, members, fleet):
         self.folder, self.fleet, self.process, self.address = folder, fleet, None, None
         self.discovery = Discovery(members)
+        self.first_list = self.discovery.list()  # the list that a successor starts with may be old
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.listen = f"127.0.0.1:{free.getsockname()[1]}"
 
@@ -89,7 +90,7 @@
         path = write_configuration(
             self.folder, self.discovery.address, self.discovery.members, listen=self.listen,
             settings=settings(proxies=PROXIES, rules=rules), seed=f"{self.fleet.random.getrandbits(60):x}",
-            known=self.discovery.list(),
+            known=self.fleet.random.choice([self.first_list, self.discovery.list()]),
         )  # fmt: skip
         started_s = time.monotonic()
         self.process = Process(path, **faults)
@@ -152,6 +153,26 @@
             self.started_s[name] = self.listed_s[name] = time.monotonic()
         self.publish(self.endpoints[name].entry(up_since_ms=int((time.time() + step_s) * 1000.0)))
 
+    def lose_endpoint(self):
+        """An endpoint is listed as gone, and is back cold some time later."""
+        name = self.random.choice([name for name in self.endpoints if name not in self.drained_s])
+        self.note(f"{name} is gone for a while")
+        self.publish(self.endpoints[name].entry("gone"))
+        with self.lock:
+            self.drained_s[name] = time.monotonic()
+        time.sleep(self.random.uniform(0.2, 1.0))
+        with self.lock:
+            del self.drained_s[name]
+            self.started_s[name] = self.listed_s[name] = time.monotonic()
+        step_s = self.random.choice(CLOCK_STEPS_S)
+        self.publish(self.endpoints[name].entry(up_since_ms=int((time.time() + step_s) * 1000.0)))
+
+    def break_watches(self):
+        self.note("discovery's connections break")
+        for sock in self.random.choice(self.controllers).discovery.open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def drain_endpoint(self):
         in_service = [name for name in self.endpoints if name not in self.drained_s]
         if len(in_service) <= ENDPOINTS // 2:
@@ -334,7 +355,7 @@
             faults = [
                 self.restart_endpoint, self.restart_endpoint, self.drain_endpoint, self.restart_controller,
                 self.restart_endpoint_and_controller, self.reset_streams, self.signal_series, self.silence_discovery,
-                self.crowd,
+                self.crowd, self.lose_endpoint, self.break_watches,
             ]  # fmt: skip
             while time.monotonic() - self.began_s < FAULT_S:
                 self.random.choice(faults)()
