--- a/quillstep/logging.py
+++ b/quillstep/logging.py
@@ -1,10 +1,12 @@
 """Logging to standard error: readable text on a terminal, JSON otherwise."""
 
 import logging
+import os
 import sys
+from typing import Any
 
 import structlog
-from structlog.typing import Processor
+from structlog.typing import EventDict, Processor
 
 
 def configure_logging(output_format: str, level: str) -> None:
@@ -20,6 +22,7 @@
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
+            _add_process_id,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
             renderer,
@@ -30,6 +33,12 @@
     )
 
 
+def _add_process_id(logger: Any, method: str, event: EventDict) -> EventDict:
+    """Add the process's ID, which tells the lines of a restarted process from those before."""
+    event["pid"] = os.getpid()
+    return event
+
+
 class _StderrLogger:
     """Writes rendered lines to standard error; the program continues if standard error is closed."""
 
