--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,7 +1,9 @@
 """Signal handling and exit of the controller process."""
 
+import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -144,3 +146,38 @@
         except OSError:
             is_refused = True
     assert running.process.wait(WAIT_S) == 0 and proxy.is_closed_within() and time.monotonic() - started_s < WAIT_S / 4
+
+
+def test_a_controller_whose_log_nobody_reads_serves_on(tmp_path):
+    """A pipe holds 64 KiB; a write beyond that would block the thread that logs, and with it every proxy."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    path = write_configuration(tmp_path, "127.0.0.1:1", [], listen=address)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "quillstep.platform"], stderr=subprocess.PIPE, text=True,
+        env={**os.environ, "BALANCER_CONFIG": str(path)}, preexec_fn=kill_when_parent_exits,
+    )  # fmt: skip
+    try:
+        wait_until(lambda: can_connect(address), "the controller")
+        for number in range(600):
+            Proxy(address, number % 4).close()
+        client = Client(address)
+        client.send({"t": "hb"})
+        assert client.received.get(timeout=WAIT_S) == {"t": "hb_ok"}
+        client.close()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(WAIT_S) == 0
+        lines = process.stderr.readlines()
+        assert "controller ready" in lines[0] and len("".join(lines)) >= 64 * 1024
+    finally:
+        process.kill()
+        process.wait(WAIT_S)
+        process.stderr.close()
+
+
+def can_connect(address):
+    host, _, port = address.rpartition(":")
+    with contextlib.suppress(OSError):
+        socket.create_connection((host, int(port)), 1.0).close()
+        return True
+    return False
