Write the log in a thread of its own, so that a log nobody reads holds up no other thread

Seen: once 64 KiB of log waited in the pipe, the thread that logged next was blocked for good; no heartbeat was answered and no update left. Cause: each thread wrote its lines to standard error itself.

--- a/quillstep/logging.py
+++ b/quillstep/logging.py
@@ -1,20 +1,23 @@
 """Logging to standard error: readable text on a terminal, JSON otherwise."""
 
+import contextlib
 import logging
 import os
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import structlog
 from structlog.typing import EventDict, Processor
 
 
-def configure_logging(output_format: str, level: str) -> None:
+def configure_logging(output_format: str, level: str, write: Callable[[str], None] | None = None) -> None:
     """Configure structlog for this process.
 
     Args:
         output_format: `human`, `json`, or `auto`, which means `human` on a terminal and `json` elsewhere.
         level: The lowest level that is logged, such as `info`.
+        write: Called with each line, from any thread; by default lines are written to standard error at once.
     """
     is_human = output_format == "human" or (output_format == "auto" and sys.stderr.isatty())
     renderer: Processor = structlog.dev.ConsoleRenderer() if is_human else structlog.processors.JSONRenderer()
@@ -28,7 +31,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=lambda *name: _StderrLogger(name[0] if name else ""),
+        logger_factory=lambda *name: _LineLogger(write or _write_to_stderr),
         cache_logger_on_first_use=True,
     )
 
@@ -39,16 +42,19 @@
     return event
 
 
-class _StderrLogger:
-    """Writes rendered lines to standard error; the program continues if standard error is closed."""
+class _LineLogger:
+    """Passes rendered lines on."""
 
-    def __init__(self, name: str) -> None:
-        self.name = name
+    def __init__(self, write: Callable[[str], None]) -> None:
+        self.write = write
 
     def msg(self, line: str) -> None:
-        try:
-            sys.stderr.write(line + "\n")
-        except OSError:
-            pass  # the reader has closed standard error
+        self.write(line + "\n")
 
     log = debug = info = warning = warn = error = critical = exception = fatal = msg
+
+
+def _write_to_stderr(line: str) -> None:
+    """Write a line to standard error; the program continues if standard error is closed."""
+    with contextlib.suppress(OSError):
+        sys.stderr.write(line)
--- a/quillstep/platform/__main__.py
+++ b/quillstep/platform/__main__.py
@@ -11,12 +11,15 @@
 from types import FrameType
 from typing import TYPE_CHECKING, NoReturn
 
+from quillstep.log_writer import LogWriter
+
 if TYPE_CHECKING:
     from quillstep.platform.configuration import PlatformConfiguration
     from quillstep.platform.service import PlatformController
 
 EXIT_CONFIGURATION_ERROR = 1
 EXIT_INTERNAL_ERROR = 70
+LOG_FLUSH_TIMEOUT_S = 0.3
 
 
 class SignalForwarder:
@@ -49,23 +52,29 @@
         controller.reload_requested = True
 
 
-def exit_on_thread_failure(failure: threading.ExceptHookArgs) -> NoReturn:
-    """End the process when a thread has failed: a controller without one of its threads cannot serve proxies.
+class ProcessExit:
+    """Ends the process after its log was written, or could not be written in time."""
 
-    Installed as `threading.excepthook`.
-    """
-    import structlog
+    def __init__(self, log_writer: LogWriter) -> None:
+        self.log_writer = log_writer
+
+    def now(self, status: int) -> NoReturn:
+        """End the process at once, without waiting for threads that are blocked on a peer."""
+        self.log_writer.flush(LOG_FLUSH_TIMEOUT_S)
+        os._exit(status)
 
-    name = failure.thread.name if failure.thread else "unknown"
-    exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
-    structlog.get_logger("controller").critical("thread ended with an internal error", thread=name, exc_info=exception)
-    _exit_now(EXIT_INTERNAL_ERROR)
+    def on_thread_failure(self, failure: threading.ExceptHookArgs) -> NoReturn:
+        """End the process when a thread has failed: a controller without one of its threads cannot serve proxies.
 
+        Installed as `threading.excepthook`.
+        """
+        import structlog
 
-def _exit_now(status: int) -> NoReturn:
-    """End the process at once, without waiting for threads that are blocked on a peer."""
-    sys.stderr.flush()
-    os._exit(status)
+        name = failure.thread.name if failure.thread else "unknown"
+        exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
+        log = structlog.get_logger("controller")
+        log.critical("thread ended with an internal error", thread=name, exc_info=exception)
+        self.now(EXIT_INTERNAL_ERROR)
 
 
 def main() -> int:
@@ -81,8 +90,10 @@
     from quillstep.logging import configure_logging
     from quillstep.platform.configuration import ConfigurationError, read_configuration
 
-    configure_logging("json", "info")
-    threading.excepthook = exit_on_thread_failure
+    log_writer = LogWriter()
+    configure_logging("json", "info", log_writer.write)
+    process_exit = ProcessExit(log_writer)
+    threading.excepthook = process_exit.on_thread_failure
     try:
         configuration = read_configuration()
         controller = _make_controller(configuration)
@@ -98,8 +109,8 @@
         controller.run(read_configuration)
     except Exception as error:
         controller.log.critical("deciding thread ended with an internal error", exc_info=error)
-        _exit_now(EXIT_INTERNAL_ERROR)
-    _exit_now(0)
+        return process_exit.now(EXIT_INTERNAL_ERROR)
+    return process_exit.now(0)
 
 
 def _make_controller(configuration: "PlatformConfiguration") -> "PlatformController":
