--- a/tests/planner/test_update_budget.py
+++ b/tests/planner/test_update_budget.py
@@ -73,6 +73,24 @@
     assert all(proxy.has_calendar for proxy in harness.fleet.proxies.values())
 
 
+def test_no_proxy_is_assigned_an_empty_calendar_when_many_have_joined_before_the_list():
+    # The lines of messages to all proxies were counted against changes that reach none of them yet.
+    limits = planner_config(channel_lines_per_s=3000.0, max_queued_lines=4500.0)
+    harness = PlannerHarness(limits, [entry(number) for number in range(20)], 450)
+    assert len(harness.slots()) == 20
+
+
+def test_a_drain_reaches_as_many_proxies_as_the_limit_holds():
+    # Lines that are not needed for the drain, such as those of admission, must not be counted against it.
+    limits = planner_config(channel_lines_per_s=3000.0, max_queued_lines=4500.0)
+    harness = PlannerHarness(limits, [entry(number) for number in range(20)], 450)
+    channel = ChannelModel(harness, 1.0)
+    for _ in range(200):
+        channel.observe(100.0)
+    channel.observe(100.0, endpoint_lists=[("partial", [entry(3, state="terminating")])])
+    assert harness.endpoint(3).is_ejected and channel.max_queued_lines <= 4500.0
+
+
 def test_an_ack_of_an_old_request_proves_nothing_of_a_newer_one():
     # Serials came round again while a slow channel still held the messages of the earlier request.
     budget, requested = UpdateBudget(planner_config()), []
