Publish changes that reach no proxy yet, whatever the channel holds

Seen: with 450 proxies that had joined before the first list, nothing was published at the start, since the heads of messages to all of them were counted against changes that cost no line, and they were assigned a calendar without endpoints. Changes without cost now always pass.

--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -155,7 +155,8 @@
             if cost and not is_urgent and not is_interval_due:
                 continue
             is_over_limit = not budget.fits_limit(self._fixed_lines() + written.lines + cost)
-            if is_over_limit or queued + written.lines + cost > (max_urgent if is_urgent else max_ordinary):
+            is_over_limit |= queued + written.lines + cost > (max_urgent if is_urgent else max_ordinary)
+            if cost and is_over_limit:
                 fleet.has_urgent_change |= is_urgent  # retried at the next early control interval
                 continue
             self._add_to_written(change, cost, audience, written)
