Count only heads and acks against a drain, and hold back admission that does not fit

Seen: with 450 proxies on a channel of 4,500 lines, a drain was never sent: since the limit is held by acks, the lines that a change of admission for all proxies would take were counted against every change. Admission is now checked by itself and waits if it does not fit. The test failed before, with two causes: this one, and the planner's test harness, which had dropped calls of set_admission, so that the modelled channel neither carried nor acknowledged them.

--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -114,9 +114,8 @@
             budget.request_ack(written_before, messages, output)
 
     def _fixed_lines(self) -> float:
-        """Returns the lines of messages to all proxies besides those of endpoints: heads, acks and admission."""
-        fleet = self.fleet
-        return len(fleet.proxies) * (self.budget.lines_per_message + 1 + len(fleet.classes))
+        """Returns the lines of messages to all proxies besides those of changes: heads and ack requests."""
+        return len(self.fleet.proxies) * (self.budget.lines_per_message + 1)
 
     def _schedule_retry(self, now_ms: float, output: PlannerOutput) -> None:
         """Requests an early control interval if urgent changes or assignments are still pending."""
@@ -142,9 +141,7 @@
         fleet, budget = self.fleet, self.budget
         audience = Audience.of(fleet)
         wanted = {table.number: self.calendar.slots(table.zone, now_ms) for table in fleet.tables}
-        lines = sum(
-            audience.table_users[table.number] * self._publish_admission(table, output) for table in fleet.tables
-        )
+        lines = self._publish_admissions(audience, output)
         written = WrittenUpdates(lines, audience.with_calendar if lines else 0)
         max_urgent = budget.max_urgent_lines(subsets_pending)
         max_ordinary = budget.max_ordinary_lines(max_urgent, audience.with_calendar != audience.joined)
@@ -244,6 +241,15 @@
             and self.fleet.all_proxies_have_calendar()
         )
 
+    def _publish_admissions(self, audience: Audience, output: PlannerOutput) -> int:
+        """Writes the changed limits and retry policies of the tables that fit the channel; returns the lines."""
+        lines = 0
+        for table in self.fleet.tables:
+            users = audience.table_users[table.number]
+            if not users or self.budget.fits_limit(self._fixed_lines() + lines + users * len(table.classes)):
+                lines += users * self._publish_admission(table, output)
+        return lines
+
     def _publish_admission(self, table: CalendarTable, output: PlannerOutput) -> int:
         """Writes a table's changed limits and retry policies, and returns the number of changes."""
         changes = 0
--- a/tests/planner_harness.py
+++ b/tests/planner_harness.py
@@ -76,6 +76,7 @@
         self.written.append(("assign_table", proxy, table, list(classes)))
 
     def set_admission(self, table, classes, limit, retry_policy):
+        self.written.append(("set_admission", table, list(classes), limit, retry_policy))
         self.written_admission.update({index: (limit, retry_policy) for index in classes})
 
     def observe(self, after=0.0, **observations):
@@ -154,7 +155,8 @@
                 assigned_lines[call[1]] = assigned_lines.get(call[1], 0) + 1 + len(call[3]) + lines
                 self.proxy_tables.setdefault(call[1], {}).update(dict.fromkeys(call[3], call[2]))
         ejections = [call[1] for call in written if call[0] == "set_ejected"]
-        changes = sum(call[0] in ("set_weight", "set_admission") and call[1] < FIRST_SUBSET_TABLE for call in written)
+        changes = sum(call[0] == "set_weight" and call[1] < FIRST_SUBSET_TABLE for call in written)
+        changes += sum(len(call[2]) for call in written if call[0] == "set_admission")
         for number, proxy in self.harness.fleet.proxies.items():
             # An ejection takes a line for each proxy whose table lists the endpoint, and for each proxy without an
             # assigned table, which may use the endpoint.  A table assigned in this run includes its ejections.
