Try a store again whose retention failed, without waiting for a submission

A failed retention marked the store as failing, but with nothing owed no attempt followed until the next submission, and operators' commands were not read meanwhile. The test failed before (nothing owed); this fault came with, so test and fix land together.

--- a/quillstep/store/writer.py
+++ b/quillstep/store/writer.py
@@ -280,6 +280,7 @@
         except StoreError as error:
             if not error.is_retryable:
                 raise
+            self.owed.append(Submission(0, []))  # so that another attempt follows
             self._report_failure(error)
 
     def _report_failure(self, error: StoreError) -> None:
--- a/tests/faults/test_failing_folders.py
+++ b/tests/faults/test_failing_folders.py
@@ -207,3 +207,20 @@
         with pytest.raises(StoreDiskError):
             open_store(settings)
     assert [path.name for path in tmp_path.iterdir()] == ["s"]
+
+
+def test_a_store_whose_retention_failed_is_tried_again_without_new_submissions(tmp_path):
+    settings = StoreSettings(folder=str(tmp_path / "s"), keep_versions=1, operator_poll_interval_ms=5.0)
+    store = open_store(settings)
+    writer = StoreWriter(settings, store, "e", lambda event: None)
+    for number in range(3):
+        version = TableVersion(f"v{number}", 0, "", "module", "", 0.0, number, {1: 10.0}, {0: (5.0, 1)})
+        store.write([writer.version_entry(version, 7.0)])
+    disk = store.on_step = FailingDisk()
+    writer._apply_retention()
+    assert writer.failure and writer.owed  # the thread tries again as long as something is owed
+    disk.is_failing = False
+    writer._try_to_commit()
+    assert not writer.failure and not writer.owed
+    writer._apply_retention()
+    assert len(store.versions(0)) == 1
