Log writer: let the queue count what waits and what is written

The writer kept a flag and a count beside its queue: a line taken and not yet flagged could be missed by the flush at an exit, and the count of dropped lines was changed by two threads.

--- a/quillstep/log_writer.py
+++ b/quillstep/log_writer.py
@@ -18,35 +18,37 @@
     def __init__(self, descriptor: int = STDERR) -> None:
         """Start the thread."""
         self._descriptor = descriptor
-        self._lines: queue.SimpleQueue[str] = queue.SimpleQueue()
-        self._is_writing = False
-        self._dropped = 0
+        self._lines: queue.Queue[str] = queue.Queue(MAX_QUEUED_LINES)
+        self._lock = threading.Lock()  # guards `_dropped`
+        self._dropped = 0  # since the start
+        self._reported = 0  # how many of these the log tells of
         threading.Thread(target=self._run, name="log-writer", daemon=True).start()
 
     def write(self, line: str) -> None:
         """Queue a line, which ends with a newline; never blocks, and may be called from any thread."""
-        if self._lines.qsize() >= MAX_QUEUED_LINES:
-            self._dropped += 1
-            return
-        self._lines.put(line)
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            with self._lock:
+                self._dropped += 1
 
     def flush(self, timeout_s: float) -> None:
         """Wait until all lines are written, or the time-out has passed."""
         deadline_s = time.monotonic() + timeout_s
-        while (self._is_writing or not self._lines.empty()) and time.monotonic() < deadline_s:
+        while self._lines.unfinished_tasks and time.monotonic() < deadline_s:
             time.sleep(FLUSH_POLL_S)
 
     def _run(self) -> None:
         while True:
             lines = [self._lines.get()]
-            self._is_writing = True
             while len(lines) < MAX_BATCH_LINES and not self._lines.empty():
                 lines.append(self._lines.get())
             self._write_all("".join(lines).encode(errors="replace"))
-            if dropped := self._dropped:
-                self._dropped -= dropped
+            if dropped := self._dropped - self._reported:
+                self._reported += dropped
                 self._write_all(f'{{"event": "log lines dropped", "dropped": {dropped}}}\n'.encode())
-            self._is_writing = False
+            for _ in lines:
+                self._lines.task_done()
 
     def _write_all(self, data: bytes) -> None:
         view = memoryview(data)
