--- a/quillstep/controller/health_checker.py
+++ b/quillstep/controller/health_checker.py
@@ -12,9 +12,9 @@
 import structlog
 
 from quillstep.errors import QuillstepError
-from quillstep.net.clock import now_ms
 from quillstep.net.errors import is_local_connect_fault
 from quillstep.net.http import get
+from quillstep.net.log_limit import LogLimiter
 from quillstep.planner.messages import EndpointId, HealthCheckResult
 
 LOAD_HEADER = "endpoint-load-metrics"
@@ -105,7 +105,7 @@
         self.timeout_ms, self.publish, self.path = timeout_ms, publish, path
         self.requests: queue.Queue[tuple[EndpointId, str, int]] = queue.Queue(MAX_QUEUED_CHECKS)
         self.in_progress: set[EndpointId] = set()
-        self.last_not_run_log_ms = float("-inf")
+        self.not_run_log_limiter = LogLimiter(NOT_RUN_LOG_INTERVAL_MS)
         self.log = structlog.get_logger("health_checks")
         for number in range(workers):
             threading.Thread(target=self._work, name=f"health-check-{number}", daemon=True).start()
@@ -140,14 +140,9 @@
         try:
             return check_endpoint(host, port, self.timeout_ms, self.path)
         except CheckNotRunError as error:
-            self._log_not_run(str(error))
+            if self.not_run_log_limiter.is_due():
+                self.log.warning("health check not run", reason=str(error))
             return None
         except Exception:
             self.log.exception("health check failed with an internal error", host=host, port=port)
             return False, {}
-
-    def _log_not_run(self, reason: str) -> None:
-        """Log that a check was not run, at most once per `NOT_RUN_LOG_INTERVAL_MS`."""
-        if now_ms() - self.last_not_run_log_ms > NOT_RUN_LOG_INTERVAL_MS:
-            self.last_not_run_log_ms = now_ms()
-            self.log.warning("health check not run", reason=reason)
--- a/quillstep/net/listener.py
+++ b/quillstep/net/listener.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from quillstep.net.clock import now_ms
+from quillstep.net.log_limit import LogLimiter
 
 MAX_ACCEPTED_PER_PASS = 64  # limited so that other connections are served between batches
 REJECTION_LOG_INTERVAL_MS = 1000.0
@@ -24,7 +24,7 @@
         self.sock.settimeout(0)  # `accept` is called until none is pending; accepted sockets block
         self.poll = poll
         self.is_accepting = True  # False after `accept` has failed, until the next maintenance
-        self.last_rejection_log_ms = float("-inf")
+        self.log_limiter = LogLimiter(REJECTION_LOG_INTERVAL_MS)
         self.log = structlog.get_logger("net")
 
     def accept(
@@ -62,8 +62,7 @@
 
     def log_rejection(self, reason: str, connections: int) -> None:
         """Log that a connection was rejected, at most once per `REJECTION_LOG_INTERVAL_MS`."""
-        if now_ms() - self.last_rejection_log_ms > REJECTION_LOG_INTERVAL_MS:
-            self.last_rejection_log_ms = now_ms()
+        if self.log_limiter.is_due():
             self.log.warning("connection rejected", reason=reason, connections=connections)
 
     def close(self) -> None:
--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -22,6 +22,7 @@
 from quillstep.net.connection import CodecT, Connection, Limits
 from quillstep.net.errors import is_out_of_memory
 from quillstep.net.listener import Listener
+from quillstep.net.log_limit import LogLimiter
 from quillstep.net.wakeup import Wakeup
 
 EventT = TypeVar("EventT")
@@ -82,7 +83,7 @@
         self.accepted = 0
         self.last_maintenance_ms = now_ms()
         self.is_poll_failing = False
-        self.last_suspension_log_ms = float("-inf")
+        self.suspension_log_limiter = LogLimiter(SUSPENSION_LOG_INTERVAL_MS)
         self.io_cpu_s = 0.0  # processor time spent on sockets and streams
         self.log = structlog.get_logger("net")
 
@@ -244,8 +245,7 @@
         connection.poll_mask = NO_EVENTS
         with contextlib.suppress(KeyError):
             self.poll.unregister(connection.sock)  # a mask of 0 would still report a hang-up, again and again
-        if now_ms() - self.last_suspension_log_ms > SUSPENSION_LOG_INTERVAL_MS:
-            self.last_suspension_log_ms = now_ms()
+        if self.suspension_log_limiter.is_due():
             self.log.warning("connection suspended", reason=error.strerror)
 
     def _close_after_error(self, connection: Connection[CodecT], error: Exception) -> None:
--- a/quillstep/platform/protocol/connections.py
+++ b/quillstep/platform/protocol/connections.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from quillstep.net.clock import now_ms
+from quillstep.net.log_limit import LogLimiter
 from quillstep.net.poller import Poller
 from quillstep.platform.protocol import names, validation
 from quillstep.platform.protocol.codec import Message, MessageCodec, MessageEvent, StreamBroken, encode_message
@@ -74,7 +74,7 @@
         self.collectors: dict[ProtocolConnection, str] = {}  # zone by collector connection
         self.dropped: Counter[str] = Counter()  # dropped messages by reason
         self.closed_unregistered: Counter[str] = Counter()  # connections that closed without registering, by reason
-        self.last_logged_ms: dict[str, float] = {}  # time of the last log line by topic
+        self.log_limiter = LogLimiter(DROP_LOG_INTERVAL_MS)
         self.log = structlog.get_logger("connections")
 
     def handle_event(self, connection: ProtocolConnection, event: MessageEvent) -> None:
@@ -108,7 +108,7 @@
         elif self.collectors.pop(connection, None) is None:
             kind = reason.partition(":")[0]  # without what the peer has sent, so that the counters stay few
             self.closed_unregistered[kind] += 1
-            if self._is_log_due(f"closed: {kind}"):
+            if self.log_limiter.is_due(f"closed: {kind}"):
                 self.log.info("unregistered connection closed", reason=reason, closed=self.closed_unregistered[kind])
         else:
             self.log.info("collector disconnected", reason=reason)
@@ -155,17 +155,9 @@
 
     def _drop(self, reason: str) -> None:
         self.dropped[reason] += 1
-        if self._is_log_due(f"dropped: {reason}"):
+        if self.log_limiter.is_due(f"dropped: {reason}"):
             self.log.warning("message dropped", reason=reason, dropped=self.dropped[reason])
 
-    def _is_log_due(self, topic: str) -> bool:
-        """Return whether to log a line on a topic now: at most one per `DROP_LOG_INTERVAL_MS`."""
-        now = now_ms()
-        if now - self.last_logged_ms.get(topic, float("-inf")) <= DROP_LOG_INTERVAL_MS:
-            return False
-        self.last_logged_ms[topic] = now
-        return True
-
 
 REPORT_HANDLERS: dict[str, Callable[[ConnectionManager, ProtocolConnection, Message], None]] = {
     names.UPSTREAM_STATS: ConnectionManager._handle_upstream_stats,
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -72,6 +72,6 @@
             wait_until(lambda: steps.readable() or not steps.poller.connections, "the lengths")
             steps.serve_ready()
         assert sum(steps.manager.closed_unregistered.values()) == 20 and len(steps.manager.closed_unregistered) == 1
-        assert len(steps.manager.last_logged_ms) == 1
+        assert len(steps.manager.log_limiter.last_logged_ms) == 1
     finally:
         steps.close()
