Log and forget endpoints that a complete list no longer names

The endpoint log, new in this change, removed an endpoint only when an entry said terminated: with complete lists its memory grew with each replaced endpoint, and a disappearance left no line. The test failed before (no line for s1).

--- a/quillstep/platform/endpoint_log.py
+++ b/quillstep/platform/endpoint_log.py
@@ -1,6 +1,5 @@
 """Logs each endpoint's changes of state, and the beliefs behind the weight or ejection that it was given."""
 
-from collections.abc import Iterable
 from typing import Any
 
 import structlog
@@ -26,12 +25,14 @@
         self.listed: dict[str, EndpointEntry] = {}
         self.log = structlog.get_logger("endpoints")
 
-    def record_list(self, entries: Iterable[EndpointEntry], now_ms: float) -> None:
+    def record_list(self, entries: list[EndpointEntry], is_complete: bool, now_ms: float) -> None:
         """Log the entries of an endpoint list that differ from the previous ones; call before the planner runs.
 
         Of the first list, only warming and draining endpoints are logged.
         """
         is_first = not self.listed
+        if is_complete:
+            self._record_missing({entry.endpoint for entry in entries})
         for entry in entries:
             before = self.listed.get(entry.endpoint)
             if entry.state == "terminated":
@@ -50,6 +51,12 @@
                     age_ms=_age_ms(entry.started_ms, now_ms),
                 )
 
+    def _record_missing(self, present: set[str]) -> None:
+        """Log and forget the endpoints that a complete list no longer names."""
+        for endpoint in self.listed.keys() - present:
+            before = self.listed.pop(endpoint)
+            self.log.info("endpoint listed", endpoint=endpoint, state_before=before.state, state=None, is_start=False)
+
     def record_output(self, output: ProtocolOutput, now_ms: float) -> None:
         """Log the weights and ejections of one control interval; call before the output is flushed."""
         changed = {endpoint for weights in output.changed_weights.values() for endpoint in weights}
--- a/quillstep/platform/event_handler.py
+++ b/quillstep/platform/event_handler.py
@@ -103,8 +103,9 @@
     def _handle_discovery_update(self, update: DiscoveryUpdate) -> None:
         now_ms = self.clock_ms()
         self.endpoints.apply(update, now_ms)
-        entries = self.start_times.to_entries(update.entries, update.kind == "complete", now_ms)
-        self.endpoint_log.record_list(entries, now_ms)
+        is_complete = update.kind == "complete"
+        entries = self.start_times.to_entries(update.entries, is_complete, now_ms)
+        self.endpoint_log.record_list(entries, is_complete, now_ms)
         self.intervals.pending.endpoint_lists.append(EndpointListUpdate(update.kind, entries))
 
 
--- a/tests/platform/test_endpoint_log.py
+++ b/tests/platform/test_endpoint_log.py
@@ -38,3 +38,18 @@
     assert listed["age_ms"] == 0.0 and 1500.0 <= weight["age_ms"] < 10_000.0
     assert weight["is_ejected"] and weight["is_in_service"] and 0.2 < weight["warm_up_fraction"] < 0.8
     assert {"q_value", "utilization", "fleet_utilization", "capacity_per_proxy", "admitted_fraction"} <= set(weight)
+
+
+def test_endpoints_that_a_complete_list_no_longer_names_are_logged_and_forgotten(tmp_path):
+    # Endpoints are replaced under new ids all the time: what is kept of those that are gone would grow without bound.
+    with capture_logs() as logs:
+        controller = make_controller(tmp_path)
+        controller.handler.handle(controller.initial_update)
+        logs.clear()
+        for revision in range(2, 30):
+            document = {"revision": revision, "complete": True, "members": [member(f"n{revision}"), member("s0")]}
+            controller.handler.handle(parse_endpoint_list(document))
+    controller.connections.poller.listener.close()
+    lines = lines_of(logs, "endpoint listed")
+    assert lines["s1"]["state"] is None and lines["s1"]["state_before"] == "in_service"
+    assert set(controller.endpoint_log.listed) == {"s0", "n29"}
