--- a/review/standins.py
+++ b/review/standins.py
@@ -30,6 +30,10 @@
     """The case could not be played, which says nothing of the rule."""
 
 
+class UnusableMessageError(Exception):
+    """The pilot has sent something that a proxy can't use."""
+
+
 class Record:
     """Lines of the record, with the time since its start; `record.txt` of the case's folder."""
 
@@ -146,26 +150,32 @@
 class Proxy:
     """A proxy that does as its tables say: applies each message, answers marks, and dials again after a break."""
 
-    def __init__(self, record, number, zone, classes, initial, requests_per_s):
-        self.record, self.number, self.zone = record, number, zone
+    def __init__(self, record, number, zone, classes, initial, requests_per_s, late_s=0.0):
+        self.record, self.number, self.zone, self.late_s = record, number, zone, late_s
         self.tables = {name: dict.fromkeys(initial, 1.0) for name in classes}
         self.levels, self.shut_out, self.holds_orders = {}, set(), False
         self.requests_per_s = requests_per_s  # by class
-        self.writer, self.joined_s, self.last_message_s, self.messages = None, None, None, 0
+        self.writer, self.joined_s, self.last_message_s = None, None, None
+        self.first_joined_s, self.messages, self.unusable = None, 0, 0
 
     async def run(self, address):
         host, _, port = address.rpartition(":")
         while True:
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, UnusableMessageError):
                 reader, self.writer = await asyncio.open_connection(host, int(port))
                 self.send({
                     "t": "attach", "id": self.number, "site": self.zone,
                     "rps": sum(self.requests_per_s.values()), "new": not self.holds_orders,
                 })  # fmt: skip
                 self.joined_s = self.record.now_s()
+                self.first_joined_s = self.first_joined_s or self.joined_s
                 self.record.write(f"proxy {self.number} joined")
                 while True:
-                    self.apply(await read_frame(reader))
+                    parts = [await read_frame(reader)]
+                    while parts[-1].get("continued"):
+                        parts.append(await read_frame(reader))
+                    self.check(parts)
+                    asyncio.get_running_loop().call_later(self.late_s, self.apply, parts, self.writer)
             self.joined_s = None
             self.record.write(f"proxy {self.number} lost its stream")
             await asyncio.sleep(REDIAL_S)
@@ -173,24 +183,39 @@
     def send(self, message):
         self.writer.write(frame(message))
 
-    def apply(self, part):
-        if part.get("t") != "assign":
+    def check(self, parts):
+        """Reset the stream if a message brings something that a proxy can't use; it then applies none of it."""
+        for part in parts:
+            figures = [weight for _, weight in part.get("endpoints", ())]
+            if "admit" in part or "policy" in part:
+                figures += [part.get("admit"), part.get("policy")]
+            are_figures = all(type(each) in (int, float) and 0 <= each < float("inf") for each in figures)
+            if not are_figures or not set(part.get("routes", ())) <= set(self.tables):
+                self.record.write(f"proxy {self.number} resets its stream: it can't use {json.dumps(part)}")
+                self.unusable += 1
+                self.writer.transport.abort()
+                raise UnusableMessageError
+
+    def apply(self, parts, stream):
+        """Apply a whole message: the table's lines, the levels, what is shut out or let back, and the mark."""
+        if stream is not self.writer or self.joined_s is None:
             return
         self.holds_orders, self.last_message_s = True, self.record.now_s()
-        for name in part.get("routes", list(self.tables)):
-            table = {} if part.get("full") else dict(self.tables[name])
-            table.update(part.get("endpoints", ()))
-            self.tables[name] = {endpoint: weight for endpoint, weight in table.items() if weight > 0}
-            if part.get("full"):
-                self.levels.pop(name, None)
-            if "admit" in part:
-                self.levels[name] = (part["admit"], part["policy"])
-        self.shut_out |= set(part.get("eject", ()))
-        self.shut_out -= set(part.get("restore", ()))
-        self.messages += not part.get("continued")
-        self.record.write(f"proxy {self.number} applied {json.dumps(part)}")
-        if "nonce_out" in part:
-            self.send({"t": "done", "id": self.number, "seq": part["nonce_out"], "ms": 5.0})
+        self.messages += 1
+        for part in parts:
+            self.record.write(f"proxy {self.number} applied {json.dumps(part)}")
+            for name in part.get("routes", list(self.tables)):
+                table = {} if part.get("full") else dict(self.tables[name])
+                table.update(part.get("endpoints", ()))
+                self.tables[name] = {endpoint: weight for endpoint, weight in table.items() if weight > 0}
+                if part.get("full"):
+                    self.levels.pop(name, None)
+                if "admit" in part:
+                    self.levels[name] = (part["admit"], part["policy"])
+            self.shut_out |= set(part.get("eject", ()))
+            self.shut_out -= set(part.get("restore", ()))
+            if "nonce_out" in part:
+                self.send({"t": "done", "id": self.number, "seq": part["nonce_out"], "ms": 5.0})
 
     def lines(self, name):
         """The endpoints that a request of a class can be sent to, with their weights."""
@@ -215,10 +240,10 @@
         _, self.writer = await asyncio.open_connection(host, int(port))
         self.writer.write(frame({"t": "telemetry", "site": self.zone}))
 
-    def report(self, endpoint, count, fail, mean_ms, over_ms):
+    def report(self, endpoint, count, fail, mean_ms, over_ms, load=None):
         self.writer.write(frame({
             "t": "upstream_stats", "site": self.zone, "target": endpoint, "count": count, "fail": fail,
-            "mean": mean_ms, "over": over_ms,
+            "mean": mean_ms, "over": over_ms, **({"util": load} if load else {}),
         }))  # fmt: skip
 
 
