Limit the nesting of JSON from peers, and give threads stacks for the recursion limit

Cause: threads had stacks of 256 KiB, and msgspec's decoder, which recurses once per level, overflowed them before the interpreter's recursion limit stopped it. Evidence: the first depth that ends the process grows with the stack (arrays 176, 372, 763 at 64, 128, 256 KiB; none from 512 KiB on: RecursionError). The same cause on related paths: registered proxies, collectors, discovery's watch and complete list, load reports of endpoints.

--- a/quillstep/controller/health_checker.py
+++ b/quillstep/controller/health_checker.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 
 import h11
-import msgspec
 import structlog
 
 from quillstep.errors import QuillstepError
 from quillstep.net.errors import is_local_connect_fault
 from quillstep.net.http import get
+from quillstep.net.json_decoder import decode_json
 from quillstep.net.log_limit import LogLimiter
 from quillstep.planner.messages import EndpointId, HealthCheckResult
 
@@ -52,7 +52,7 @@
 
 
 def _parse_json(text: str) -> dict[str, float]:
-    report = msgspec.json.decode(text)
+    report = decode_json(text.encode())
     report.update(report.pop("named_metrics", {}))
     return {name: value for name, value in report.items() if isinstance(value, int | float)}
 
--- a/quillstep/controller/service.py
+++ b/quillstep/controller/service.py
@@ -28,10 +28,10 @@
 from quillstep.load_reports.readers.pool import ReaderPool
 from quillstep.load_reports.readers.thread import ReaderThread
 from quillstep.net.clock import now_ms, wall_clock_offset_ms
+from quillstep.net.threads import set_thread_stack_size
 from quillstep.recording.writer import RecordingWriter
 from quillstep.store import Store
 from quillstep.store.writer import StoreWriter
-from quillstep.xds.peer import STACK_BYTES
 from quillstep.xds.server import Server
 
 MAX_EVENTS_PER_PASS = 512
@@ -52,7 +52,7 @@
             OSError: An address can't be bound or a file can't be opened.
             UnusableFileError: The file front's root directory can't be used.
         """
-        threading.stack_size(STACK_BYTES)
+        set_thread_stack_size()
         sys.setswitchinterval(SWITCH_INTERVAL_S)
         self.settings = settings
         self.log = structlog.get_logger("controller")
--- a/quillstep/platform/discovery_watch.py
+++ b/quillstep/platform/discovery_watch.py
@@ -18,11 +18,11 @@
 from typing import Any
 
 import h11
-import msgspec
 import structlog
 
 from quillstep.net.clock import now_ms
 from quillstep.net.http import connect, get, next_event, send_request
+from quillstep.net.json_decoder import MalformedJsonError, decode_json
 from quillstep.platform.endpoint_list import (
     DiscoveryUpdate,
     MalformedListError,
@@ -225,6 +225,6 @@
 
 def _decode(data: bytes) -> Any:
     try:
-        return msgspec.json.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise MalformedListError("invalid JSON") from error
+        return decode_json(data)
+    except MalformedJsonError as error:
+        raise MalformedListError(f"invalid JSON: {error}") from error
--- a/quillstep/platform/protocol/codec.py
+++ b/quillstep/platform/protocol/codec.py
@@ -6,6 +6,7 @@
 
 from quillstep.errors import QuillstepError
 from quillstep.net.framing import add_length, remove_bodies
+from quillstep.net.json_decoder import JsonDecoder, MalformedJsonError, NestingTooDeepError
 
 MAX_MESSAGE_BYTES = 2**20
 MIN_MESSAGE_BYTES = 2  # an empty object
@@ -15,7 +16,7 @@
 Message = dict[str, Any]
 
 _encode = msgspec.json.Encoder().encode
-_decode = msgspec.json.Decoder(Message).decode
+_decode = JsonDecoder(Message).decode
 
 
 class MalformedMessageError(QuillstepError):
@@ -72,7 +73,9 @@
                 events.append(_decode(body))
         except MalformedMessageError as error:
             events.append(self._mark_broken(str(error)))
-        except (msgspec.DecodeError, RecursionError, ValueError):
+        except NestingTooDeepError as error:
+            events.append(self._mark_broken(f"invalid message: {error}"))
+        except MalformedJsonError:
             events.append(self._mark_broken(NOT_AN_OBJECT))
         return events
 
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -24,6 +24,7 @@
 from quillstep.controller.health_checker import HealthChecker
 from quillstep.controller.start_times import StartTimes
 from quillstep.net.clock import now_ms, wall_clock_offset_ms
+from quillstep.net.threads import set_thread_stack_size
 from quillstep.planner.planner import Planner
 from quillstep.platform.configuration import (
     ConfigurationError,
@@ -41,7 +42,6 @@
 from quillstep.platform.protocol.updates import ProtocolOutput
 from quillstep.platform.status import IntervalMetrics, status_fields
 
-THREAD_STACK_BYTES = 256 * 1024
 MAX_EVENTS_PER_PASS = 1024
 MAX_QUEUED_EVENTS = 4096  # above this queue length statistics are merged
 MAX_QUEUED_STATS = 1  # unused: this controller queues all its input as events
@@ -83,7 +83,7 @@
         Raises:
             OSError: The address cannot be bound.
         """
-        threading.stack_size(THREAD_STACK_BYTES)
+        set_thread_stack_size()
         self.configuration, self.config = configuration, config
         self.reload_requested = self.stop_requested = False
         self.log = structlog.get_logger("controller")
--- a/quillstep/testbed/discovery_server.py
+++ b/quillstep/testbed/discovery_server.py
@@ -16,7 +16,8 @@
 
 from quillstep.config.controller import LimitSettings
 from quillstep.net.clock import now_ms
-from quillstep.testbed.process import STACK_BYTES, EventLog, answer, read_setup, serve
+from quillstep.net.threads import set_thread_stack_size
+from quillstep.testbed.process import EventLog, answer, read_setup, serve
 from quillstep.xds.events import StreamEnded, StreamEvent, StreamRequest
 from quillstep.xds.resources import LEDS
 from quillstep.xds.server import Peer, Server
@@ -59,7 +60,7 @@
 
     def __init__(self, setup: dict[str, Any]) -> None:
         """Listen, and send the address to the parent."""
-        threading.stack_size(STACK_BYTES)
+        set_thread_stack_size()
         self.delay_ms = setup["late_ms"]
         self.draw_uniform = random.Random(setup["seed"]).uniform
         self.record = EventLog(setup["record"])
--- a/quillstep/testbed/endpoints.py
+++ b/quillstep/testbed/endpoints.py
@@ -15,8 +15,9 @@
 from typing import Any
 
 from quillstep.net.clock import now_ms
+from quillstep.net.threads import set_thread_stack_size
 from quillstep.testbed.endpoint_cores import EndpointCores
-from quillstep.testbed.process import STACK_BYTES, EventLog, answer, read_setup, serve
+from quillstep.testbed.process import EventLog, answer, read_setup, serve
 
 MAX_HEAD_BYTES = 16 * 1024
 LISTEN_BACKLOG = 256
@@ -216,7 +217,7 @@
     """All endpoints of this process, with their shared memory of idempotency keys and the event log."""
 
     def __init__(self, setup: dict[str, Any]) -> None:
-        threading.stack_size(STACK_BYTES)
+        set_thread_stack_size()
         self.rules = setup["rules"]
         self.classes = {row["name"]: row for row in setup["classes"]}
         self.responses_carry_load = setup["answers_tell"]
--- a/quillstep/testbed/process.py
+++ b/quillstep/testbed/process.py
@@ -14,7 +14,6 @@
 
 import msgspec
 
-STACK_BYTES = 256 * 1024
 FLUSH_INTERVAL_S = 0.2
 
 
--- a/quillstep/testbed/proxies.py
+++ b/quillstep/testbed/proxies.py
@@ -19,9 +19,10 @@
 from typing import Any
 
 from quillstep.net.clock import now_ms
+from quillstep.net.threads import set_thread_stack_size
 from quillstep.testbed.file_subscriber import FileSubscriber
 from quillstep.testbed.load_reporting import LoadReporter, bucket_index
-from quillstep.testbed.process import STACK_BYTES, EventLog, answer, read_setup, serve
+from quillstep.testbed.process import EventLog, answer, read_setup, serve
 from quillstep.testbed.proxy_interface import Address, Route, RoutingState, TableEntry
 from quillstep.testbed.xds_subscriber import DeltaSubscriber, SotwSubscriber, XdsSubscriber
 
@@ -413,7 +414,7 @@
     """All proxies of this process, and the threads that handle their requests and send their load reports."""
 
     def __init__(self, setup: dict[str, Any]) -> None:
-        threading.stack_size(STACK_BYTES)
+        set_thread_stack_size()
         self.classes = {row["name"]: row for row in setup["classes"]}
         self.proxy_settings = setup["knobs"]
         self.default_retry_policy = self.proxy_settings["base_tries"]
--- a/quillstep/xds/peer.py
+++ b/quillstep/xds/peer.py
@@ -1,4 +1,4 @@
-"""A client connection: one reader and one writer thread with small stacks, and bounded buffers both ways.
+"""A client connection: one reader and one writer thread, and bounded buffers both ways.
 
 A process has few client connections.  Accepted connections have no threads of their own; see `net/poller.py`.
 """
@@ -10,7 +10,6 @@
 
 from quillstep.xds.http2 import MAX_GOAWAY_BYTES, Event, GrpcConnection, ProtocolError
 
-STACK_BYTES = 256 * 1024
 CHUNK_BYTES = 64 * 1024
 FINAL_WRITE_TIMEOUT_S = 0.2
 
