Read the files of all other proxies after one proxy's file that cannot be decoded

Callers would see: after a hello.json or manifest.json with 2,000 levels of brackets, a manifest that names a file with NUL, or a folder generations/², the thread file-watcher ended and the controller went on without it: no file proxy joined, no acknowledgement was read. An ack.json of that kind ended the deciding thread. Cause: only the expected types of errors were caught; skipping a nested field raises RecursionError, int() takes less than isdigit(), open() rejects NUL with ValueError, and protobuf's DecodeError of a packed resource is no ValueError.

--- a/quillstep/files/disk.py
+++ b/quillstep/files/disk.py
@@ -26,16 +26,16 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-import msgspec
-
 from quillstep.errors import QuillstepError
 from quillstep.files.generation_files import MANIFEST, GenerationFile, Manifest
+from quillstep.net.json_decoder import JsonDecoder, MalformedJsonError, decode_json
 
 MAX_FILE_BYTES = 2**20
 MAX_GENERATION_FILE_BYTES = 16 * 2**20
 MAX_REASON_CHARS = 500  # a longer rejection reason is cut
 TEMPORARY_PREFIX = "new-"  # marks objects and generations that are still being written
 SAFE_NAME = re.compile(r"[A-Za-z0-9_%~][A-Za-z0-9._%~-]{0,199}")
+GENERATION_NAME = re.compile(r"[0-9]{1,18}")  # a number that a signed integer of 64 bits holds
 LIBC = ctypes.CDLL(None, use_errno=True)
 DIRECTORY_FLAGS = os.O_RDONLY | os.O_DIRECTORY | os.O_NOFOLLOW | os.O_CLOEXEC
 STEPS = ("objects", "directory", "links", "manifest", "renamed", "synced", "symlink", "swapped", "cleared")
@@ -104,6 +104,9 @@
     return open_directory(name, parent_fd)
 
 
+_manifest_decoder = JsonDecoder(Manifest)
+
+
 class Disk:
     """The root directory of the file front, locked against other controllers.
 
@@ -344,7 +347,7 @@
             try:
                 for name in _entries(generations_fd):
                     if name.startswith(TEMPORARY_PREFIX) or (
-                        name.isdigit() and int(name) not in keep | {number, previous}
+                        GENERATION_NAME.fullmatch(name) and int(name) not in keep | {number, previous}
                     ):
                         _remove(name, generations_fd)
             finally:
@@ -366,8 +369,8 @@
 
     def newest(self, proxy: str) -> int:
         """Returns the highest generation number on disk, complete or not, so that no number is reused; 0 if none."""
-        numbers = [name.removeprefix(TEMPORARY_PREFIX) for name in self.names(proxy, "generations")]
-        return max((int(name) for name in numbers if name.isdigit()), default=0)
+        names = [name.removeprefix(TEMPORARY_PREFIX) for name in self.names(proxy, "generations")]
+        return max((int(name) for name in names if GENERATION_NAME.fullmatch(name)), default=0)
 
     def generation(self, proxy: str, number: int) -> tuple[Manifest, dict[str, bytes]] | None:
         """Reads the manifest and files of a generation; returns None unless all of them can be read."""
@@ -376,9 +379,11 @@
             file = self.read(MANIFEST, *where, max_bytes=MAX_GENERATION_FILE_BYTES)
             if file is None:
                 return None
-            manifest = msgspec.json.decode(file.data, type=Manifest)
+            manifest: Manifest = _manifest_decoder.decode(file.data)
+            if not all(SAFE_NAME.fullmatch(name) for name in manifest.files):
+                return None
             files = {name: self.read(name, *where, max_bytes=MAX_GENERATION_FILE_BYTES) for name in manifest.files}
-        except (UnusableFileError, msgspec.DecodeError, OSError):
+        except (UnusableFileError, MalformedJsonError, OSError):
             return None
         if any(file is None for file in files.values()):
             return None
@@ -391,7 +396,7 @@
         name = os.readlink("current", dir_fd=proxy_fd).rpartition("/")[2]
     except OSError:
         return 0
-    return int(name) if name.isdigit() else 0
+    return int(name) if GENERATION_NAME.fullmatch(name) else 0
 
 
 def _write_all(fd: int, data: bytes) -> None:
@@ -435,9 +440,9 @@
         MalformedAckError: The data is not valid JSON, or a field is missing or has the wrong type.
     """
     try:
-        content: Any = msgspec.json.decode(data)
+        content: Any = decode_json(data)
         number, reason = content["generation"], content.get("refused", "")
-    except (msgspec.DecodeError, KeyError, AttributeError, TypeError) as error:
+    except (MalformedJsonError, KeyError, AttributeError, TypeError) as error:
         raise MalformedAckError(str(error) or type(error).__name__) from error
     if not isinstance(number, int) or isinstance(number, bool) or not isinstance(reason, str):
         raise MalformedAckError("expected an integer in generation and a string in refused")
--- a/quillstep/files/generation_files.py
+++ b/quillstep/files/generation_files.py
@@ -10,7 +10,8 @@
 import msgspec
 import xxhash
 from envoy.service.discovery.v3 import discovery_pb2
-from google.protobuf import json_format
+from google.protobuf import any_pb2, json_format
+from google.protobuf.message import DecodeError
 
 from quillstep.errors import QuillstepError
 from quillstep.routing import Key, Resource
@@ -132,9 +133,17 @@
     for name, data in files.items():
         response = decode(name, data)
         for packed in response.resources:
-            wrapped = discovery_pb2.Resource()
-            if not packed.Unpack(wrapped):
-                raise MalformedFileError(f"{name}: expected a resource wrapped in Resource")
+            wrapped = _unpack_resource(name, packed)
             key = resources.key_of(response.type_url, wrapped.name)
             decoded[key] = Resource(wrapped.version, (RAW, wrapped.resource.SerializeToString()))
     return decoded
+
+
+def _unpack_resource(name: str, packed: any_pb2.Any) -> discovery_pb2.Resource:
+    wrapped = discovery_pb2.Resource()
+    try:
+        if packed.Unpack(wrapped):
+            return wrapped
+    except DecodeError as error:
+        raise MalformedFileError(f"{name}: {error}") from error
+    raise MalformedFileError(f"{name}: expected a resource wrapped in Resource")
--- a/quillstep/files/registration.py
+++ b/quillstep/files/registration.py
@@ -6,6 +6,7 @@
 
 from quillstep.files.disk import Disk, read_ack, safe_name
 from quillstep.files.generation_files import read_resources
+from quillstep.net.json_decoder import JsonDecoder, MalformedJsonError
 from quillstep.routing import Key, Resource
 
 HELLO, ACK = "hello.json", "ack.json"
@@ -30,6 +31,9 @@
     versions: dict[str, dict[str, str]] = {}
 
 
+_registration_decoder = JsonDecoder(Registration)
+
+
 class RegisteredProxy(NamedTuple):
     """A registration together with the generations on disk that belong to it.
 
@@ -49,8 +53,8 @@
 def read_registration(disk: Disk, directory: str, data: bytes) -> RegisteredProxy | str:
     """Reads a hello file and the generation it refers to; returns the reason as text if the file is invalid."""
     try:
-        registration = msgspec.json.decode(data, type=Registration)
-    except msgspec.DecodeError as error:
+        registration: Registration = _registration_decoder.decode(data)
+    except MalformedJsonError as error:
         return str(error)
     if safe_name(registration.node) != directory:
         return f"node: expected the node of this directory, got {registration.node!r}"
--- a/quillstep/files/watcher.py
+++ b/quillstep/files/watcher.py
@@ -72,6 +72,9 @@
             self._poll_reports(directory)
         except (UnusableFileError, OSError) as error:
             self._log_once(directory, str(error))
+        except Exception as error:  # the files of one proxy must not end the thread, which reads those of all
+            if self._log_once(directory, f"{type(error).__name__}: {error}"):
+                self.log.error("reading files failed with an internal error", proxy=directory, exc_info=error)
 
     def _may_have_changed(self, directory: str) -> bool:
         """Compares the directory's stamp; a new one is not trusted, as another change may have the same."""
@@ -108,11 +111,13 @@
                 self.put(LoadReportRead(directory, file.data))
         self.stamps[directory, "load"] = self.disk.stamp(directory, "load")
 
-    def _log_once(self, directory: str, error: str) -> None:
-        """Logs an error of a directory unless it equals the one logged last."""
-        if self.errors.get(directory) != error:
-            self.errors[directory] = error
-            self.log.warning("path rejected", proxy=directory, reason=error)
+    def _log_once(self, directory: str, error: str) -> bool:
+        """Logs an error of a directory unless it equals the one logged last; returns whether it was logged."""
+        if self.errors.get(directory) == error:
+            return False
+        self.errors[directory] = error
+        self.log.warning("path rejected", proxy=directory, reason=error)
+        return True
 
 
 def _age_ms(stamp: Stamp) -> float:
