Take a resource name with a number of any length as one that is not defined here

Callers would see: a proxy that subscribes to, or says it holds, table-N or an endpoint with N of more than 4,300 digits ends the controller: int() raises ValueError on the deciding thread, where names are turned into keys (deltas, first requests, hello.json of file proxies).

--- a/quillstep/xds/resources.py
+++ b/quillstep/xds/resources.py
@@ -10,6 +10,7 @@
 | EJECTED, endpoint E | LbEndpoint | xdstp://quillstep/envoy.config.endpoint.v3.LbEndpoint/withdrawn/E |
 """
 
+import re
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
@@ -36,6 +37,7 @@
 COLLECTION = "xdstp://quillstep/envoy.config.endpoint.v3.LbEndpoint/"
 LISTENER_NAME = "exchanges"  # name of the listener and of its route configuration
 TABLE_PREFIX = "table-"
+GENERATED_NUMBER = re.compile(r"0|[1-9][0-9]{0,17}")  # a number that a signed integer of 64 bits holds
 EJECTED_GROUP = "withdrawn"
 EJECTED_COLLECTION = f"{COLLECTION}{EJECTED_GROUP}/*"
 RATE_FILTER = "envoy.filters.http.local_ratelimit"
@@ -112,7 +114,7 @@
 
 def _parse_number(text: str) -> int | None:
     """Parses a number in the form in which names are generated: without sign or leading zeros.  None otherwise."""
-    return int(text) if text.isascii() and text.isdigit() and str(int(text)) == text else None
+    return int(text) if GENERATED_NUMBER.fullmatch(text) else None
 
 
 def collection(key: Key) -> str:
