Close a client connection whose reader fails, and take an odd gRPC status as an internal one

Callers would see: after discovery ended a stream with the status "²" (byte B2) or with 5,000 digits, int() raised ValueError in the thread that reads the client connection; the thread ended without on_closed, and the discovery client waited for ever: no endpoint was followed any more. Cause: isdigit() accepts what int() does not.

--- a/quillstep/xds/http2.py
+++ b/quillstep/xds/http2.py
@@ -1,6 +1,7 @@
 """One HTTP/2 connection that carries gRPC streams, without I/O, on top of the h2 library."""
 
 import contextlib
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +25,7 @@
 MAX_GOAWAY_BYTES = 4096
 MAX_STATUS_CHARS = 200  # a longer grpc-message is cut
 PING_DATA = b"quillste"
+GRPC_STATUS = re.compile(r"[0-9]{1,3}")
 
 
 class StreamOpened(msgspec.Struct, frozen=True, gc=False):
@@ -155,7 +157,7 @@
         if "grpc-status" not in headers:
             return []
         code = headers["grpc-status"]
-        status = int(code) if code.isdigit() else INTERNAL
+        status = int(code) if GRPC_STATUS.fullmatch(code) else INTERNAL
         return [StreamEnded(stream, status, headers.get("grpc-message", ""))]
 
     def _on_stream_end(self, received: h2.events.StreamEnded) -> list[Event]:
--- a/quillstep/xds/peer.py
+++ b/quillstep/xds/peer.py
@@ -100,6 +100,8 @@
                 self.protocol_output += self.codec.pending_output()  # includes the GOAWAY frame
         except OSError as error:
             reason = type(error).__name__
+        except Exception as error:  # as in `_write`: the owner must learn that nothing more is read
+            reason = f"{type(error).__name__}: {error}"
         self._finish(self.reason or reason)
 
     def _read_until_end(self) -> None:
