Reject settings that are nested too deeply, or hold a number of 5,000 digits, with one line

Cause: the parser of CUE recurses, as does json.loads, and int() refuses over 4,300 digits; only ConfigError was caught.

--- a/quillstep/config/cue/document.py
+++ b/quillstep/config/cue/document.py
@@ -45,9 +45,12 @@
     Raises:
         ConfigError: The text is not in the supported subset of CUE, or values conflict.
     """
-    node = Evaluator(file).document(parse(text, file))
     origin = Origin(file)
-    return _to_plain(node, "", origin), origin
+    try:
+        node = Evaluator(file).document(parse(text, file))
+        return _to_plain(node, "", origin), origin
+    except RecursionError as error:
+        raise ConfigError(file, 1, "", "values nested too deeply", "fewer levels of nesting and references") from error
 
 
 def _to_plain(node: Node, path: str, origin: Origin) -> Any:
--- a/quillstep/config/cue/evaluation.py
+++ b/quillstep/config/cue/evaluation.py
@@ -82,7 +82,10 @@
         return self._record(tree.children, scopes, line, path)
 
     def _number(self, tree: Tree, scopes: Scopes, line: int, path: str) -> Node:
-        return Node(line, scalar=parse_number(str(tree.children[0])), is_known=True)
+        try:
+            return Node(line, scalar=parse_number(str(tree.children[0])), is_known=True)
+        except ValueError as error:
+            raise self._error(line, path, "a number with too many digits", "a shorter one") from error
 
     def _string(self, tree: Tree, scopes: Scopes, line: int, path: str) -> Node:
         return Node(line, scalar=parse_string(str(tree.children[0])), is_known=True)
--- a/quillstep/config/cue/grammar.py
+++ b/quillstep/config/cue/grammar.py
@@ -66,7 +66,11 @@
 
 
 def parse_number(token: str) -> int | float:
-    """Returns the value of a number token."""
+    """Returns the value of a number token.
+
+    Raises:
+        ValueError: An integer has more digits than the interpreter converts.
+    """
     digits = token.replace("_", "")
     return float(digits) if any(character in digits for character in ".eE") else int(digits)
 
--- a/quillstep/config/loading.py
+++ b/quillstep/config/loading.py
@@ -12,6 +12,7 @@
 from quillstep.config.errors import ConfigError
 from quillstep.config.fleet import ClassSettings, FleetSettings
 from quillstep.config.scenario import FaultSettings
+from quillstep.net.json_decoder import NestingTooDeepError, check_nesting
 
 MIN_QUEUED_S = 0.5  # the channel's queue must hold the lines of this time at its full rate
 
@@ -171,7 +172,7 @@
     """Parses `path=value` texts; a value that is not valid JSON is taken as a string.
 
     Raises:
-        ConfigError: A text has no value.
+        ConfigError: A text has no value, or its JSON is nested too deeply.
     """
     change: dict[str, Any] = {}
     for each in texts:
@@ -179,7 +180,10 @@
         if not equals:
             raise ConfigError("--set", 1, path, "no value", "path=value")
         try:
+            check_nesting(value.encode())
             change[path] = json.loads(value)
+        except NestingTooDeepError as error:
+            raise ConfigError("--set", 1, path, f"a value {error}", "fewer levels") from error
         except ValueError:
             change[path] = value
     return change
