Take a recording with nested or malformed records for corrupt, in place of a traceback

Callers would see: recording ls, verify, show and replay faithful ended with RecursionError, IndexError or TypeError on a block whose checksum is right and whose records are nested 3,000 levels deep, or do not begin with a kind and two times. Cause: only msgspec's own error was caught, and the first fields of a record were used without a check. A block of that kind is now corrupt, at its offset; an index that cannot be decoded counts as unreadable, as one that LMDB rejects. Fields behind the first three are still not checked (replay faithful, read only).

tests/cli/test_undecodable_files.py: all 40 new cases failed before, all pass. tests/cli, recording, compatibility, replay: 169 passed.

--- a/quillstep/recording/format.py
+++ b/quillstep/recording/format.py
@@ -18,6 +18,7 @@
 Version 1 had no `arrived_ms`; it is read as `handled_ms`.  Up to version 2 all load reports are requests.
 """
 
+import math
 import struct
 from collections.abc import Iterator
 from typing import Any, NamedTuple, TypeAlias
@@ -35,6 +36,7 @@
 MAX_BLOCK_BYTES = 64 * 2**20
 MAX_PAYLOAD_BYTES = 256 * 2**20
 COMPRESSION_LEVEL = 3
+HEAD_FIELDS = 3  # fields that all records begin with: the kind and two times
 
 Record: TypeAlias = list[Any]  # the stored form; `controller/event_codec.py` converts it to typed events
 
@@ -120,7 +122,7 @@
         raise CorruptBlockError(0, "header truncated")
     try:
         header = msgspec.msgpack.decode(data[SEGMENT_HEAD.size : end], type=Header)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CorruptBlockError(0, str(error)) from error
     header.version = version
     return header, end
@@ -171,8 +173,16 @@
     try:
         raw = zstandard.ZstdDecompressor().decompress(block.payload, max_output_size=MAX_PAYLOAD_BYTES)
         records = msgspec.msgpack.decode(raw, type=list[list[Any]])
-    except (zstandard.ZstdError, msgspec.DecodeError) as error:
+    except (zstandard.ZstdError, msgspec.DecodeError, RecursionError) as error:
         raise CorruptBlockError(block.offset, str(error)) from error
     if version == 1:
-        records = [[record[0], record[1], *record[1:]] for record in records]
+        records = [[*record[:2], *record[1:]] for record in records]
+    if not all(_has_valid_head(record) for record in records):
+        raise CorruptBlockError(block.offset, "a record does not begin with its kind and two times")
     return records
+
+
+def _has_valid_head(record: Record) -> bool:
+    if len(record) < HEAD_FIELDS or type(record[0]) is not str:
+        return False
+    return all(type(time_ms) in (int, float) and math.isfinite(time_ms) for time_ms in record[1:HEAD_FIELDS])
--- a/quillstep/recording/index.py
+++ b/quillstep/recording/index.py
@@ -50,7 +50,7 @@
             index.begin() as transaction,
         ):
             return _scan(transaction, f"{epoch}\0".encode(), first_ms, last_ms)
-    except lmdb.Error:
+    except (lmdb.Error, msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/tests/cli/test_undecodable_files.py
+++ b/tests/cli/test_undecodable_files.py
@@ -1,10 +1,16 @@
 """Files that cannot be decoded end a command with one line that names the problem, never with a traceback."""
 
+from pathlib import Path
+
 import pytest
+import xxhash
+import zstandard
 from click.testing import CliRunner
 
 from quillstep.cli.main import cli
+from quillstep.recording import format as segments
 
+CAPTURE = Path("examples/captures/short/capture-0")
 NESTED = "[" * 3000 + "]" * 3000
 SETTINGS = {
     "nested records": "a: " + "{b: " * 3000 + "1" + "}" * 3000,
@@ -42,3 +48,54 @@
     result = run("replay", "compare", "examples/captures/short", "--set", f"fleet.proxies.ejects={value}")
     assert_fails_with_one_line(result)
     assert "fleet.proxies.ejects" in result.stderr
+
+
+def segment(folder, records, header=None):
+    """Writes a recording whose only block has these bytes as its decompressed payload; returns its folder."""
+    path = sorted(CAPTURE.glob("*.qcap"))[0]
+    data = path.read_bytes()
+    if header is None:
+        header = data[: segments.decode_header(data)[1]]
+    payload = zstandard.ZstdCompressor().compress(records)
+    head = (segments.BLOCK_MAGIC, len(payload), 1, 0.0, 1.0, xxhash.xxh3_64_intdigest(payload))
+    (folder / path.name).write_bytes(header + segments.BLOCK_HEAD.pack(*head) + payload)
+    # Another block, so that the first one does not pass for an end that was cut off.
+    with (folder / path.name).open("ab") as file:
+        file.write(segments.encode_block([["end", 1.0, 1.0, 0, 1, ""]]))
+    return folder
+
+
+def header(body):
+    return segments.SEGMENT_HEAD.pack(segments.SEGMENT_MAGIC, segments.VERSION, len(body)) + body
+
+
+RECORDS = {  # MessagePack of the array of records
+    "nested": b"\x91\x94\xa4open\x01\x01" + b"\x91" * 3000 + b"\x01",
+    "nested and never closed": b"\x91\x94\xa4open" + b"\x91" * 3000,
+    "an empty record": b"\x91\x90",
+    "a record without times": b"\x91\x91\xa4open",
+    "a kind that is a list": b"\x91\x93\x90\x02\x03",
+    "a kind that is a number": b"\x91\x93\x01\x02\x03",
+    "a time that is a text": b"\x91\x93\xa4open\xa1a\xa1b",
+    "a time stamp": b"\x91\x93\xa4open\xd6\xff\x00\x00\x00\x01\x03",
+    "a time that is NaN": b"\x91\x93\xa4open\x01\xcb\x7f\xf8\x00\x00\x00\x00\x00\x00",
+}
+reads_recording = pytest.mark.parametrize(
+    "command", [["recording", "ls"], ["recording", "verify"], ["recording", "show"], ["replay", "faithful"]],
+    ids=["ls", "verify", "show", "faithful"],
+)  # fmt: skip
+
+
+# Guards against RecursionError, IndexError and TypeError of a recording whose records are not what they should be.
+@reads_recording
+@pytest.mark.parametrize("records", RECORDS.values(), ids=RECORDS)
+def test_a_recording_with_malformed_records_is_corrupt(tmp_path, command, records):
+    result = run(*command, segment(tmp_path, records))
+    assert_fails_with_one_line(result)
+    assert "at byte " in result.stderr
+
+
+# Guards against RecursionError of a nested field in the header of a segment.
+@reads_recording
+def test_a_recording_with_a_nested_header_is_corrupt(tmp_path, command):
+    assert_fails_with_one_line(run(*command, segment(tmp_path, b"\x90", header(b"\x81\xa1x" + b"\x91" * 3000))))
