Import no export with nested rows, numbers or keys that the store cannot hold; check keys on reading

Cause: rows were decoded and encoded without a bound, and keys were not checked. Lines are decoded by net/json_decoder.py, each row is packed and unpacked before anything is written, and a key must hold as many numbers as its part's keys do, on import and on reading, where a nested body counts as corrupt as well.

tests/cli/test_undecodable_files.py: 4 of the 7 new cases failed before, all pass. tests/cli, store, compatibility, faults/test_failing_folders.py: 177 passed.

--- a/quillstep/cli/store.py
+++ b/quillstep/cli/store.py
@@ -10,6 +10,7 @@
 import zstandard
 
 from quillstep.cli.output import fail, print_json
+from quillstep.net.json_decoder import decode_json
 from quillstep.store import Store, StoreError
 
 FOLDER = click.argument("folder", type=click.Path())
@@ -93,7 +94,7 @@
         ValueError: The export is truncated, or a line cannot be decoded.
     """
     with Path(file).open("rb") as raw, zstandard.ZstdDecompressor().stream_reader(raw) as stream:
-        rows = [msgspec.json.decode(line) for line in stream.read().splitlines()]
+        rows = [decode_json(line) for line in stream.read().splitlines()]
     if not rows or rows[-1] != {"rows": len(rows) - 1}:
         raise ValueError(f"{file} is truncated: the last line does not hold the number of rows")
     yield from rows[:-1]
--- a/quillstep/store/records.py
+++ b/quillstep/store/records.py
@@ -112,6 +112,9 @@
     INCARNATIONS: IncarnationRow,
     JOURNAL: list[Any],
 }
+# How many numbers the keys of a part are made of.
+KEY_NUMBERS = {META: 1, VERSIONS: 2, PINS: 1, OPERATOR_COMMANDS: 1, INCARNATIONS: 1, JOURNAL: 1}
+KEY_NUMBER_BYTES = 8
 
 
 def pack(key: bytes, row: Any) -> bytes:
@@ -129,12 +132,24 @@
     body = value[CHECKSUM_BYTES:]
     if not body or xxhash.xxh3_64_digest(key + body) != value[:CHECKSUM_BYTES]:
         raise CorruptValueError(f"{part}/{key.hex()}: its checksum does not fit")
+    check_key(part, key)
     try:
         return msgspec.msgpack.decode(body, type=PARTS[part])
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise CorruptValueError(f"{part}/{key.hex()}: {error}") from error
 
 
+def check_key(part: str, key: bytes) -> None:
+    """Checks that a key of a part whose keys are made of numbers holds as many as it should.
+
+    Raises:
+        CorruptValueError: The key is too short or too long.
+    """
+    numbers = KEY_NUMBERS.get(part)
+    if numbers is not None and len(key) != numbers * KEY_NUMBER_BYTES:
+        raise CorruptValueError(f"{part}/{key.hex()}: a key of {len(key)} bytes, expected {numbers * KEY_NUMBER_BYTES}")
+
+
 def number_key(*numbers: int) -> bytes:
     """Returns a key made of numbers; keys sort in the order of their numbers."""
     return struct.pack(f">{len(numbers)}Q", *numbers)
@@ -142,7 +157,7 @@
 
 def numbers_of(key: bytes) -> tuple[int, ...]:
     """Returns the numbers in a key made by `number_key`."""
-    return struct.unpack(f">{len(key) // 8}Q", key)
+    return struct.unpack(f">{len(key) // KEY_NUMBER_BYTES}Q", key)
 
 
 def migrate_row(part: str, row: list[Any], schema: int) -> list[Any]:
--- a/quillstep/store/store.py
+++ b/quillstep/store/store.py
@@ -292,14 +292,18 @@
         entries = []
         for line in exported:
             try:
-                row_type = PARTS[line["part"]]
-                entries.append(Entry(line["part"], bytes.fromhex(line["key"]), msgspec.convert(line["row"], row_type)))
-            except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
+                entries.append(_imported_entry(line["part"], bytes.fromhex(line["key"]), line["row"]))
+            except (KeyError, TypeError, ValueError, OverflowError, CorruptValueError) as error:
                 raise InvalidExportError(f"row {len(entries) + 1}: {error}") from error
         self.write(entries)
         return len(entries)
 
 
+def _imported_entry(part: str, key: bytes, row: Any) -> Entry:
+    """Returns the entry of an exported row, after it was encoded and decoded as it will be in the store."""
+    return Entry(part, key, unpack(part, key, pack(key, msgspec.convert(row, PARTS[part]))))
+
+
 def _opening_error(error: OSError) -> type[StoreError]:
     if error.errno in (errno.EROFS, errno.EACCES):
         return StoreReadOnlyError
--- a/tests/cli/test_undecodable_files.py
+++ b/tests/cli/test_undecodable_files.py
@@ -1,5 +1,6 @@
 """Files that cannot be decoded end a command with one line that names the problem, never with a traceback."""
 
+import json
 from pathlib import Path
 
 import pytest
@@ -99,3 +100,26 @@
 @reads_recording
 def test_a_recording_with_a_nested_header_is_corrupt(tmp_path, command):
     assert_fails_with_one_line(run(*command, segment(tmp_path, b"\x90", header(b"\x81\xa1x" + b"\x91" * 3000))))
+
+
+EXPORTS = {
+    "nested": b'{"part": ' + b"[" * 3000,
+    "a nested row": b'{"part":"versions","key":"00","row":' + NESTED.encode() + b'}\n{"rows":1}\n',
+    "a number that is not stored": b'{"part":"journal","key":"0000000000000001","row":['
+    + b"9" * 400
+    + b"]}\n"
+    + b'{"rows":1}\n',
+    "a key that is cut off": b'{"part":"journal","key":"01","row":[]}\n{"rows":1}\n',
+    "not UTF-8": b'{"part":"\xff"}\n',
+    "a row of another type": b'{"part":"versions","key":"0000000000000001","row":1}\n{"rows":1}\n',
+    "a line that is no object": b'[]\n{"rows":1}\n',
+}
+
+
+# Guards against RecursionError and OverflowError of an export, and against keys that later reads cannot split.
+@pytest.mark.parametrize("lines", EXPORTS.values(), ids=EXPORTS)
+def test_an_export_that_cannot_be_decoded_is_not_imported(tmp_path, lines):
+    (tmp_path / "export").write_bytes(zstandard.ZstdCompressor().compress(lines))
+    assert_fails_with_one_line(run("store", "import", tmp_path / "store", tmp_path / "export"))
+    rows = json.loads(run("store", "check", tmp_path / "store").stdout.splitlines()[-1])["rows"]
+    assert not any(count for part, count in rows.items() if part != "meta")
