Name the file and line of a recorded scenario that cannot be decoded, in place of a traceback

Callers would see: replay compare, recording keep and trace ended with RecursionError, DecodeError, TypeError or KeyError on a request or a fleet that is nested, is not JSON, or lacks a field. Cause: rows were decoded without a bound and used without a check. They are decoded by net/json_decoder.py and checked against typed fields; the error names file and line. A truncated last line of the record is skipped as before, also if it is nested.

--- a/quillstep/cli/recording.py
+++ b/quillstep/cli/recording.py
@@ -110,9 +110,9 @@
 def keep_for_replay(folder: str, out: str) -> None:
     """Copy only what replays need from a played arm: recordings, the fleet, the requests."""
     from quillstep.recording import CorruptBlockError
-    from quillstep.replay.recorded_scenario import copy_for_replay
+    from quillstep.replay.recorded_scenario import MalformedScenarioError, copy_for_replay
 
     try:
         click.echo(f"{out}: {copy_for_replay(Path(folder), Path(out))} requests")
-    except (OSError, CorruptBlockError) as error:
+    except (OSError, CorruptBlockError, MalformedScenarioError) as error:
         fail(error)
--- a/quillstep/cli/replay.py
+++ b/quillstep/cli/replay.py
@@ -54,12 +54,12 @@
 
 def _read_recorded_scenario(folder: str) -> "RecordedScenario":
     from quillstep.recording import CorruptBlockError
-    from quillstep.replay.recorded_scenario import read_recorded_scenario
+    from quillstep.replay.recorded_scenario import MalformedScenarioError, read_recorded_scenario
 
     configure_logging("auto", "error")
     try:
         return read_recorded_scenario(Path(folder))
-    except (OSError, CorruptBlockError) as error:
+    except (OSError, CorruptBlockError, MalformedScenarioError) as error:
         fail(error)
 
 
--- a/quillstep/cli/tracing.py
+++ b/quillstep/cli/tracing.py
@@ -9,6 +9,7 @@
 
 from quillstep.cli.output import fail, print_json
 from quillstep.cli.recording import FOLDER
+from quillstep.net.json_decoder import MalformedJsonError
 
 
 @click.command()
@@ -33,7 +34,7 @@
             print_json(msgspec.to_builtins(summary))
             sys.exit(1 if summary.untraced else 0)
         traced = index.trace(str(request))
-    except (NoArmError, UnknownRequestError) as error:
+    except (NoArmError, UnknownRequestError, MalformedJsonError) as error:
         fail(error)
     result = trace_report(Path(folder), traced)
     Console(stderr=True).print_json(data=result)
--- a/quillstep/invariants/evidence.py
+++ b/quillstep/invariants/evidence.py
@@ -11,9 +11,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple, TypeAlias
 
-import msgspec
-
 from quillstep.config.fleet import FleetSettings
+from quillstep.net.json_decoder import MalformedJsonError, decode_json
 
 Row: TypeAlias = dict[str, Any]  # one decoded line of the record
 
@@ -233,17 +232,17 @@
     A process that is killed may leave a truncated last line, which is skipped.
 
     Raises:
-        msgspec.DecodeError: A complete line is not JSON.
+        MalformedJsonError: A complete line is not JSON; the message names its file and number.
     """
     for path in sorted(folder.glob("*.jsonl")):
         writer = path.name.partition("-")[0]
         with path.open("rb") as lines:
-            for line in lines:
+            for number, line in enumerate(lines, 1):
                 try:
-                    row = msgspec.json.decode(line)
-                except msgspec.DecodeError:
+                    row = decode_json(line)
+                except MalformedJsonError as error:
                     if line.endswith(b"\n"):
-                        raise
+                        raise MalformedJsonError(f"{path}:{number}: {error}") from error
                     continue
                 evidence.add(writer, row)
     return evidence.sort()
--- a/quillstep/replay/recorded_scenario.py
+++ b/quillstep/replay/recorded_scenario.py
@@ -14,6 +14,8 @@
 from envoy.service.load_stats.v3 import lrs_pb2
 
 from quillstep.config.controller import ControllerSettings
+from quillstep.errors import QuillstepError
+from quillstep.net.json_decoder import MalformedJsonError, decode_json
 from quillstep.planner.messages import EndpointEntry
 from quillstep.recording import Incarnation, Record, read_incarnations, read_records, recorded_settings
 from quillstep.xds.server import LOAD
@@ -21,6 +23,48 @@
 MAX_CLOCK_DIFFERENCE_MS = 50.0  # Offsets that differ by at most this belong to one clock.
 
 
+class MalformedScenarioError(QuillstepError):
+    """A file of a recorded scenario cannot be decoded, or lacks a field; the message names the file and the line."""
+
+
+class EndpointFields(msgspec.Struct):
+    """The fields that a replay needs of an endpoint in `fleet.json`."""
+
+    id: int
+    zone: str
+    cores: float
+    host: str
+    port: int
+
+
+class ProxyFields(msgspec.Struct):
+    """The fields that a replay needs of a proxy in `fleet.json`."""
+
+    name: str
+    zone: str
+    usual: float
+    standing: list[tuple[str, int]]
+
+
+class FleetFields(msgspec.Struct):
+    """The fields that a replay needs of `fleet.json`."""
+
+    endpoints: list[EndpointFields]
+    proxies: list[ProxyFields]
+
+
+class RequestFields(msgspec.Struct):
+    """The fields that a replay needs of a recorded request; times are milliseconds."""
+
+    at: float
+    end: float
+    exchange: str
+    proxy: str
+    class_name: str = msgspec.field(name="class")
+    outcome: str
+    tries: list[list[Any]]
+
+
 class DiscoveryUpdate(NamedTuple):
     """An endpoint list that arrived; `addresses` are hosts and ports by endpoint."""
 
@@ -91,8 +135,10 @@
     Raises:
         FileNotFoundError: The folder holds no fleet, no recording or no requests.
         CorruptBlockError: A recording is damaged.
+        MalformedScenarioError: The fleet or a request cannot be decoded.
     """
-    fleet = msgspec.json.decode((folder / "fleet.json").read_bytes())
+    path = folder / "fleet.json"
+    fleet = _decode(path.read_bytes(), FleetFields, str(path))
     recorded = [incarnation for path in sorted(folder.glob("capture-*")) for incarnation in read_incarnations(path)]
     if not recorded:
         raise FileNotFoundError(f"{folder}: expected at least one recording (capture-*), found none")
@@ -114,14 +160,36 @@
 def _read_requests(folder: Path) -> list[dict[str, Any]]:
     requests = []
     for path in sorted(folder.glob("proxies-*.jsonl")):
-        for line in path.read_bytes().splitlines():
-            row = msgspec.json.decode(line)
-            if row["what"] == "exchange":
+        for number, line in enumerate(path.read_bytes().splitlines(), 1):
+            if is_request(row := _decode(line, dict[str, Any], f"{path}:{number}")):
+                _check_fields(row, RequestFields, f"{path}:{number}")
                 requests.append(row)
     requests.sort(key=lambda row: (row["at"], row["exchange"]))
     return requests
 
 
+def is_request(row: dict[str, Any]) -> bool:
+    """Returns whether a row of a proxy's record is a request, rather than what the proxy applied or reported."""
+    return row.get("what") == "exchange"
+
+
+def _decode(data: bytes, fields: Any, place: str) -> Any:
+    """Returns the decoded JSON, of which all fields are kept, after a check that it has these ones."""
+    try:
+        decoded = decode_json(data)
+    except MalformedJsonError as error:
+        raise MalformedScenarioError(f"{place}: {error}") from error
+    _check_fields(decoded, fields, place)
+    return decoded
+
+
+def _check_fields(decoded: Any, fields: Any, place: str) -> None:
+    try:
+        msgspec.convert(decoded, fields)
+    except msgspec.ValidationError as error:
+        raise MalformedScenarioError(f"{place}: {error}") from error
+
+
 def copy_for_replay(folder: Path, out: Path) -> int:
     """Copies what replays need from an arm: recordings, the fleet, the requests.
 
--- a/tests/cli/test_undecodable_files.py
+++ b/tests/cli/test_undecodable_files.py
@@ -1,6 +1,7 @@
 """Files that cannot be decoded end a command with one line that names the problem, never with a traceback."""
 
 import json
+import shutil
 from pathlib import Path
 
 import pytest
@@ -123,3 +124,52 @@
     assert_fails_with_one_line(run("store", "import", tmp_path / "store", tmp_path / "export"))
     rows = json.loads(run("store", "check", tmp_path / "store").stdout.splitlines()[-1])["rows"]
     assert not any(count for part, count in rows.items() if part != "meta")
+
+
+ROWS = {
+    "nested": b'{"what":"exchange","unused":' + b"[" * 3000,
+    "nested and closed": b'{"what":"exchange","unused":' + b"[" * 900 + b"]" * 900 + b"}",
+    "a list": b"[]",
+    "a row without times": b'{"what":"exchange"}',
+    "a time that is a text": b'{"what":"exchange","exchange":"1","at":"x","end":1}',
+    "not UTF-8": b"\xff",
+}
+FLEETS = {
+    "nested": b"[" * 3000,
+    "a list": b"[]",
+    "without endpoints": b"{}",
+    "a row that is a number": b'{"endpoints":[1],"proxies":[]}',
+}
+
+
+def arm(folder, name, data):
+    """Copies a recorded arm and replaces one of its files, or appends a line to it; returns its folder."""
+    shutil.copytree(CAPTURE.parent, folder)
+    path = folder / name
+    path.write_bytes(path.read_bytes() + data + b"\n" if name.endswith(".jsonl") else data)
+    return folder
+
+
+def arm_commands(folder, tmp_path):
+    return [
+        ["replay", "compare", folder, "--set", "fleet.proxies.ejects=1"],
+        ["recording", "keep", folder, tmp_path / "out"],
+    ]
+
+
+# Guards against errors of any type for a recorded request that cannot be decoded, or lacks a field.
+@pytest.mark.parametrize("row", ROWS.values(), ids=ROWS)
+def test_an_arm_with_a_malformed_request_is_rejected(tmp_path, row):
+    for command in arm_commands(arm(tmp_path / "arm", "proxies-0.jsonl", row), tmp_path):
+        result = run(*command)
+        assert_fails_with_one_line(result)
+        assert "proxies-0.jsonl" in result.stderr
+
+
+# Guards against errors of any type for a list of the fleet that cannot be decoded, or lacks a field.
+@pytest.mark.parametrize("fleet", FLEETS.values(), ids=FLEETS)
+def test_an_arm_with_a_malformed_fleet_is_rejected(tmp_path, fleet):
+    for command in arm_commands(arm(tmp_path / "arm", "fleet.json", fleet), tmp_path):
+        result = run(*command)
+        assert_fails_with_one_line(result)
+        assert "fleet.json" in result.stderr
