Describe a nested value of the configuration without RecursionError

Callers would see: a configuration whose field is nested some 994 levels deep ended the start with a traceback. Cause: such a value is decoded just within the recursion limit, and the encoder that quotes it in the error needs a few levels more.

--- a/quillstep/platform/configuration.py
+++ b/quillstep/platform/configuration.py
@@ -130,7 +130,10 @@
         if not isinstance(document, dict) or name not in document:
             return ""
         document = document[name]
-    return f", found {json.dumps(document)[:MAX_ERROR_VALUE_CHARACTERS]}"
+    try:
+        return f", found {json.dumps(document)[:MAX_ERROR_VALUE_CHARACTERS]}"
+    except RecursionError:  # decoded within the recursion limit, but too deep for the encoder
+        return ", found a deeply nested value"
 
 
 def controller_config(configuration: PlatformConfiguration, path: str) -> ControllerConfig:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,5 +1,6 @@
 """The configuration file: derived values, and error messages for invalid files."""
 
+import json
 import os
 import subprocess
 import sys
@@ -85,3 +86,15 @@
     assert isinstance(limits, ConnectionLimits) and limits.max_connections < 256
     # New connections evict unregistered ones, so that all proxies can connect: see tests/net/test_poller.py.
     assert limits.max_connections >= limits.max_unregistered >= config.deployment.proxies
+
+
+# Guards against RecursionError while an error is described: the value was decoded just within the recursion limit.
+@pytest.mark.parametrize("field", ["name", "listen", "settings", "limits", "known"])
+def test_a_field_nested_up_to_the_recursion_limit_is_rejected(tmp_path, field):
+    path = write_configuration(tmp_path, "127.0.0.1:1", [])
+    document = json.loads(path.read_text())
+    del document[field]
+    for depth in range(900, 1001):
+        path.write_text(f'{json.dumps(document)[:-1]}, "{field}": {"[" * depth}1{"]" * depth}}}')
+        with pytest.raises(ConfigurationError):
+            read_configuration({"BALANCER_CONFIG": str(path)})
