Reject numbers of the simulator that the planner cannot compute with, with one line

Callers would see: a line with an integer of 400 digits or a number of 1e308 was accepted, and the planner raised OverflowError with a traceback at a later batch; lanes.count of a million million made the process grow without end. Cause: only NaN and infinity were rejected. Numbers are bounded to 1e18, integers to 64 bits, classes to 4,096, and a negative membersList is rejected at its own line. The platform's settings are read by the same functions.

--- a/quillstep/config/start_settings.py
+++ b/quillstep/config/start_settings.py
@@ -9,6 +9,11 @@
 
 Fields = dict[str, str]
 
+MAX_NUMBER = 1e18  # products and sums of numbers up to this stay finite
+MAX_INTEGER = 2**64  # seeds have up to 64 bits
+MAX_CLASSES = 4096
+MAX_SHOWN_CHARACTERS = 60  # of a value in an error message
+
 
 class InvalidFieldError(QuillstepError, ValueError):
     """A field has an invalid value; the message names the field and the value."""
@@ -23,7 +28,7 @@
         absent: Returned where the field is absent or empty.
 
     Raises:
-        InvalidFieldError: The value is not a finite number.
+        InvalidFieldError: The value is not a finite number, or its magnitude exceeds `MAX_NUMBER`.
     """
     text = fields.get(key)
     if text is None or text == "":
@@ -34,6 +39,8 @@
         raise InvalidFieldError(f"{key}={text!r} is not a number") from error
     if value != value or value in (float("inf"), float("-inf")):
         raise InvalidFieldError(f"{key}={text!r} is not a finite number")
+    if abs(value) > MAX_NUMBER:
+        raise InvalidFieldError(f"{key}={_shorten(text)} is out of range")
     return value
 
 
@@ -41,15 +48,23 @@
     """Returns a field as an integer; `absent` where it is absent or empty.
 
     Raises:
-        InvalidFieldError: The value is not an integer.
+        InvalidFieldError: The value is not an integer, or its magnitude exceeds `MAX_INTEGER`.
     """
     text = fields.get(key)
     if text is None or text == "":
         return absent
     try:
-        return int(text)
+        value = int(text)
     except ValueError as error:
-        raise InvalidFieldError(f"{key}={text!r} is not a number") from error
+        raise InvalidFieldError(f"{key}={_shorten(text)} is not a number") from error
+    if abs(value) > MAX_INTEGER:
+        raise InvalidFieldError(f"{key}={_shorten(text)} is out of range")
+    return value
+
+
+def _shorten(text: str) -> str:
+    """Returns a value for an error message, cut to a length at which the line can be read."""
+    return repr(text) if len(text) <= MAX_SHOWN_CHARACTERS else f"{text[:MAX_SHOWN_CHARACTERS]!r}..."
 
 
 def read_milliseconds(fields: Fields, key: str) -> float:
@@ -72,7 +87,10 @@
     Raises:
         InvalidFieldError: A field has an invalid value.
     """
-    indexes = range(read_integer(fields, "lanes.count"))
+    class_count = read_integer(fields, "lanes.count")
+    if class_count > MAX_CLASSES:
+        raise InvalidFieldError(f"lanes.count={class_count} is out of range")
+    indexes = range(class_count)
     home_zone_only = fields.get("specifics.homeOnly", "").split(",")
     classes = []
     for index in indexes:
--- a/quillstep/simulator/decode.py
+++ b/quillstep/simulator/decode.py
@@ -134,7 +134,10 @@
 
 def list_announcement(fields: Fields) -> ListAnnouncement:
     """Returns the number of an endpoint list, and how many entries it has."""
-    return ListAnnouncement(read_integer(fields, "bank"), read_integer(fields, "membersList"))
+    entries = read_integer(fields, "membersList")
+    if entries < 0:
+        raise MalformedLineError(f"membersList={entries} is negative")
+    return ListAnnouncement(read_integer(fields, "bank"), entries)
 
 
 def endpoint_entry(fields: Fields) -> EndpointEntry:
--- a/tests/simulator/test_host.py
+++ b/tests/simulator/test_host.py
@@ -96,3 +96,23 @@
     for line in "\n".join(start_events(1)).split("\n"):
         host.handle(decode.parse_line(line))
     assert host.reply() == ["broken i=pilot/1 line=RuntimeError: out of reach"]
+
+
+OUT_OF_RANGE = {
+    "integer of 400 digits": f"observed i=pilot/1 endpoint=7 many={'9' * 400} errors=0",
+    "integer of 5,000 digits": f"observed i=pilot/1 endpoint=7 many={'9' * 5000} errors=0",
+    "requests": f"traffic i=pilot/1 service=save many={'9' * 400} agent=3 covers=1000000",
+    "serial": f"applied i=pilot/1 agent=3 serial={'9' * 400}",
+    "time": "observed i=pilot/1 endpoint=7 many=1 errors=0 timeTaken=1e308",
+    "load": "observed i=pilot/1 endpoint=7 many=1 errors=0 gauge=util:1e308",
+    "weight": "manifest bank=1 membersList=1\nitem endpoint=8 regionPart=a availability=in_service part=1e308",
+    "entries of a list": "manifest bank=1 membersList=-1",
+    "classes": "start i=pilot/2 randomSeed=5 lanes.count=1000000000000",
+}
+
+
+# Guards against OverflowError in the planner, with a traceback, and against memory that a number of a line exhausts.
+@pytest.mark.parametrize("line", OUT_OF_RANGE.values(), ids=OUT_OF_RANGE)
+def test_a_number_out_of_range_is_malformed_input(line):
+    done = run(*batch(*start_events(1)), *batch(*line.split("\n"), at=2000000), *batch(at=9000000))
+    assert done.returncode == 1 and done.stderr.count("\n") == 1 and "input line " in done.stderr
