--- a/quillstep/cli/controller.py
+++ b/quillstep/cli/controller.py
@@ -16,6 +16,7 @@
     from quillstep.controller.service import Controller
     from quillstep.store import Store
 
+EXIT_INTERNAL_ERROR = 70
 MAX_STOP_S = 5.0  # time to stop after standard input was closed, before the process exits anyway
 
 
@@ -26,6 +27,7 @@
     """Run one controller until it is stopped."""
     record = load_settings(ControllerSettings, settings)
     store, record = _open_store(record, settings)
+    threading.excepthook = _end_process
     running = _make_controller(record, store, settings)
     addresses = {"reports": running.processes.addresses} if running.processes else {}
     print_json({"ready": running.server.address, **addresses})
@@ -38,6 +40,15 @@
         running.server.stop()
 
 
+def _end_process(failure: threading.ExceptHookArgs) -> None:
+    """Ends the process when a thread has failed: a controller that lacks one of its threads cannot do its work."""
+    exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
+    name = failure.thread.name if failure.thread else "unknown"
+    log = structlog.get_logger("controller")
+    log.critical("thread ended with an internal error", thread=name, exc_info=exception)
+    os._exit(EXIT_INTERNAL_ERROR)
+
+
 def _open_store(record: ControllerSettings, path: str) -> tuple["Store | None", ControllerSettings]:
     """Returns the store and the settings to use; without the store, after a log event, if it cannot be opened."""
     from quillstep.store import StoreError, StoreSchemaTooNewError
