Soak: strangers, discovery and endpoints send bytes that cannot be decoded

Nested, binary, too large and empty bodies, at random between 0.1 and 0.5 s, drawn apart from the other faults so that those of a seed stay the same.

--- a/tests/faults/soak.py
+++ b/tests/faults/soak.py
@@ -1,8 +1,8 @@
 """One seeded run of a small fleet: real controller processes under faults, and the rules checked at the proxies.
 
 Drawn by the seed: kills, planned restarts, signals in series, steps of wall clocks, failing system calls, restarts and
-drains of endpoints, silent discovery, resets of streams, and a crowd of idle connections.  Proxies keep using their
-connections until these break.
+drains of endpoints, silent discovery, resets of streams, and a crowd of idle connections.  Beside these, strangers,
+discovery and endpoints send bytes that cannot be decoded.  Proxies keep using their connections until these break.
 """
 
 import contextlib
@@ -31,6 +31,12 @@
     ("connect", "EADDRNOTAVAIL"), ("connect", "ENETUNREACH"), ("connect", "ENOBUFS"), ("connect", "EHOSTUNREACH"),
     ("recv", "ENOMEM"), ("recv", "ETIMEDOUT"), ("send", "ENOBUFS"), ("setsockopt", "ENOBUFS"), ("poll", "ENOMEM"),
 ]  # fmt: skip
+UNDECODABLE = [  # bodies of messages, lines of discovery, and load reports
+    b'{"t":"attach","id":' + b"[" * 2000, b'{"t":"attach","id":' + b'{"a":' * 650 + b"1" + b"}" * 651,
+    b'{"t":"attach","id":' + b"[" * 900 + b"]" * 900 + b"}", b'{"t":"hb","n":' + b"9" * 3000 + b"}",
+    b'{"t":"\xff"}', b'{"t":"\\ud800"}', b'{"t":"attach","id":NaN}', b"{" * 3000, b"", b"\x00" * 50,
+]  # fmt: skip
+UNDECODABLE_INTERVAL_S = (0.1, 0.5)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -122,6 +128,7 @@
 
     def __init__(self, folder, seed):
         self.random, self.violations, self.events = random.Random(seed), [], []
+        self.bytes_random = random.Random(f"{seed}/bytes")  # apart, so that the faults of a seed stay the same
         self.lock = threading.RLock()
         self.endpoints = {f"s{index}": Endpoint(f"s{index}", "ab"[index % 2]) for index in range(ENDPOINTS)}
         self.started_s = {}  # true start of each endpoint that has restarted
@@ -250,6 +257,26 @@
         for client in clients:
             client.close()
 
+    def send_undecodable_bytes(self):
+        """A stranger, discovery or an endpoint sends bytes that cannot be decoded."""
+        draw = self.bytes_random
+        controller, body = draw.choice(self.controllers), draw.choice(UNDECODABLE)
+        match draw.choice(["stranger", "discovery", "endpoint"]):
+            case "stranger":
+                with contextlib.suppress(OSError, AttributeError):  # the controller is down, or was never up
+                    stranger = Client(controller.address)
+                    stranger.send(body)
+                    stranger.close()
+            case "discovery":
+                controller.discovery.send_line(body.replace(b"\n", b""))
+            case "endpoint":
+                report = b"JSON " + body
+                head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n".encode()
+                endpoint = draw.choice(list(self.endpoints.values()))
+                endpoint.answer = lambda sock, path: sock.sendall(head + report)
+                time.sleep(0.2)
+                del endpoint.answer
+
     # Proxies
 
     def dial(self, number):
@@ -348,8 +375,14 @@
             while not stopping.wait(0.1):
                 self.tick()
 
-        observer = threading.Thread(target=observe)
-        observer.start()
+        def send_until_stopped():
+            while not stopping.wait(self.bytes_random.uniform(*UNDECODABLE_INTERVAL_S)):
+                if time.monotonic() - self.began_s < FAULT_S:
+                    self.send_undecodable_bytes()
+
+        helpers = [threading.Thread(target=observe), threading.Thread(target=send_until_stopped)]
+        for helper in helpers:
+            helper.start()
         try:
             time.sleep(1.5)
             faults = [
@@ -363,7 +396,8 @@
             self.await_convergence()
         finally:
             stopping.set()
-            observer.join()
+            for helper in helpers:
+                helper.join()
             self.close()
         for proxy in self.proxies.values():
             self.violations += proxy.violations
