--- a/tests/controller/test_undecodable_discovery.py
+++ b/tests/controller/test_undecodable_discovery.py
@@ -1,6 +1,7 @@
 """Bytes of the xDS discovery server that cannot be decoded: the client goes on, and follows what comes later."""
 
 import queue
+import threading
 
 import pytest
 from envoy.config.core.v3 import health_check_pb2
@@ -68,20 +69,27 @@
 @pytest.fixture
 def follow():
     """Starts a client of a server with these actions; returns the queue of the lists that it publishes."""
-    servers = []
+    servers, clients = [], []
 
     def start(*actions):
         servers.append(DiscoveryServer(*actions))
         published = queue.Queue()
-        DiscoveryClient(servers[0].server.address, "c", "a", StartTimes(0.0, 1000.0), published.put)
+        address = servers[0].server.address
+        clients.append(DiscoveryClient(address, "c", "a", StartTimes(0.0, 1000.0), published.put))
         published.requests = servers[0].requests
         return published
 
     yield start
+    for client in clients:
+        client._run_stream = wait_for_ever  # the client would dial until the end of the process
     for each in servers:
         each.server.stop()
 
 
+def wait_for_ever():
+    threading.Event().wait()
+
+
 def endpoints(event):
     return [entry.endpoint for entry in event.entries]
 
