One log line for a failed thread, one highest port, and one check of a recorded row

The hook of quillstep controller repeated that of the platform's entry point: both call net/threads.py, which has the exit status as well. The highest port stood in the platform's list and in the discovery client: net/http.py has it. Each row of a recorded scenario was converted twice, the first time only to see that it is an object, and is_request had one caller. Behaviour stays. tests/net, cli, controller, architecture, replay: 232 passed; platform, logging, compatibility: 238 passed; ruff, mypy clean.

--- a/quillstep/cli/controller.py
+++ b/quillstep/cli/controller.py
@@ -11,12 +11,12 @@
 
 from quillstep.cli.output import fail, load_settings, print_json
 from quillstep.config.controller import ControllerSettings
+from quillstep.net.threads import EXIT_INTERNAL_ERROR, log_thread_failure
 
 if TYPE_CHECKING:
     from quillstep.controller.service import Controller
     from quillstep.store import Store
 
-EXIT_INTERNAL_ERROR = 70
 MAX_STOP_S = 5.0  # time to stop after standard input was closed, before the process exits anyway
 
 
@@ -42,10 +42,7 @@
 
 def _end_process(failure: threading.ExceptHookArgs) -> None:
     """Ends the process when a thread has failed: a controller that lacks one of its threads cannot do its work."""
-    exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
-    name = failure.thread.name if failure.thread else "unknown"
-    log = structlog.get_logger("controller")
-    log.critical("thread ended with an internal error", thread=name, exc_info=exception)
+    log_thread_failure(failure)
     os._exit(EXIT_INTERNAL_ERROR)
 
 
--- a/quillstep/controller/discovery_client.py
+++ b/quillstep/controller/discovery_client.py
@@ -15,6 +15,7 @@
 from quillstep.controller.start_times import ListedEndpoint, StartTimes
 from quillstep.errors import QuillstepError
 from quillstep.net.clock import now_ms
+from quillstep.net.http import MAX_PORT
 from quillstep.xds.client import GrpcClient
 from quillstep.xds.grpc import INVALID_ARGUMENT
 from quillstep.xds.http2 import MessageReceived, StreamEnded
@@ -26,7 +27,6 @@
 RECONNECT_DELAY_MS = 300.0
 CONNECT_TIMEOUT_MS = 1000.0
 MAX_ENDPOINT_NUMBER = 2**53  # numbers are sent as doubles, which represent integers exactly up to this value
-MAX_PORT = 65535
 MAX_LOGGED_REJECTIONS = 3
 STATES = {health_check_pb2.HEALTHY: "in_service", health_check_pb2.UNKNOWN: "in_service"}
 
--- a/quillstep/net/http.py
+++ b/quillstep/net/http.py
@@ -11,6 +11,7 @@
 import h11
 
 RECEIVE_BYTES = 16 * 1024
+MAX_PORT = 65535
 ResponseEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
--- a/quillstep/platform/__main__.py
+++ b/quillstep/platform/__main__.py
@@ -18,7 +18,6 @@
     from quillstep.platform.service import PlatformController
 
 EXIT_CONFIGURATION_ERROR = 1
-EXIT_INTERNAL_ERROR = 70
 LOG_FLUSH_TIMEOUT_S = 0.3
 
 
@@ -68,12 +67,9 @@
 
         Installed as `threading.excepthook`.
         """
-        import structlog
+        from quillstep.net.threads import EXIT_INTERNAL_ERROR, log_thread_failure
 
-        name = failure.thread.name if failure.thread else "unknown"
-        exception = (failure.exc_type, failure.exc_value, failure.exc_traceback)
-        log = structlog.get_logger("controller")
-        log.critical("thread ended with an internal error", thread=name, exc_info=exception)
+        log_thread_failure(failure)
         self.now(EXIT_INTERNAL_ERROR)
 
 
@@ -88,6 +84,7 @@
     signal.signal(signal.SIGTERM, signals.handle)
     signal.signal(signal.SIGHUP, signals.handle)
     from quillstep.logging import configure_logging
+    from quillstep.net.threads import EXIT_INTERNAL_ERROR
     from quillstep.platform.configuration import ConfigurationError, read_configuration
 
     log_writer = LogWriter()
--- a/quillstep/platform/endpoint_list.py
+++ b/quillstep/platform/endpoint_list.py
@@ -10,11 +10,11 @@
 
 from quillstep.controller.start_times import ListedEndpoint
 from quillstep.errors import QuillstepError
+from quillstep.net.http import MAX_PORT
 
 # The planner's endpoint state by discovery's phase.
 ENDPOINT_STATES = {"ready": "in_service", "draining": "terminating", "gone": "terminated"}
 MAX_VALUE = 10**15  # limit of sizes, times and revisions; sums of larger values could overflow
-MAX_PORT = 65535
 NUMERIC_ADDRESS = re.compile(r"([0-9.]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 
 Address = tuple[str, int]
--- a/quillstep/replay/recorded_scenario.py
+++ b/quillstep/replay/recorded_scenario.py
@@ -15,13 +15,15 @@
 
 from quillstep.config.controller import ControllerSettings
 from quillstep.errors import QuillstepError
-from quillstep.net.json_decoder import MalformedJsonError, decode_json
+from quillstep.net.json_decoder import JsonDecoder, MalformedJsonError
 from quillstep.planner.messages import EndpointEntry
 from quillstep.recording import Incarnation, Record, read_incarnations, read_records, recorded_settings
 from quillstep.xds.server import LOAD
 
 MAX_CLOCK_DIFFERENCE_MS = 50.0  # Offsets that differ by at most this belong to one clock.
 
+_object_decoder = JsonDecoder(dict[str, Any])
+
 
 class MalformedScenarioError(QuillstepError):
     """A file of a recorded scenario cannot be decoded, or lacks a field; the message names the file and the line."""
@@ -138,7 +140,8 @@
         MalformedScenarioError: The fleet or a request cannot be decoded.
     """
     path = folder / "fleet.json"
-    fleet = _decode(path.read_bytes(), FleetFields, str(path))
+    fleet = _decode(path.read_bytes(), str(path))
+    _check_fields(fleet, FleetFields, str(path))
     recorded = [incarnation for path in sorted(folder.glob("capture-*")) for incarnation in read_incarnations(path)]
     if not recorded:
         raise FileNotFoundError(f"{folder}: expected at least one recording (capture-*), found none")
@@ -161,29 +164,25 @@
     requests = []
     for path in sorted(folder.glob("proxies-*.jsonl")):
         for number, line in enumerate(path.read_bytes().splitlines(), 1):
-            if is_request(row := _decode(line, dict[str, Any], f"{path}:{number}")):
-                _check_fields(row, RequestFields, f"{path}:{number}")
+            place = f"{path}:{number}"
+            row = _decode(line, place)
+            if row.get("what") == "exchange":
+                _check_fields(row, RequestFields, place)
                 requests.append(row)
     requests.sort(key=lambda row: (row["at"], row["exchange"]))
     return requests
 
 
-def is_request(row: dict[str, Any]) -> bool:
-    """Returns whether a row of a proxy's record is a request, rather than what the proxy applied or reported."""
-    return row.get("what") == "exchange"
-
-
-def _decode(data: bytes, fields: Any, place: str) -> Any:
-    """Returns the decoded JSON, of which all fields are kept, after a check that it has these ones."""
+def _decode(data: bytes, place: str) -> dict[str, Any]:
     try:
-        decoded = decode_json(data)
+        decoded: dict[str, Any] = _object_decoder.decode(data)
     except MalformedJsonError as error:
         raise MalformedScenarioError(f"{place}: {error}") from error
-    _check_fields(decoded, fields, place)
     return decoded
 
 
-def _check_fields(decoded: Any, fields: Any, place: str) -> None:
+def _check_fields(decoded: dict[str, Any], fields: type[msgspec.Struct], place: str) -> None:
+    """Checks that an object has these fields; others are not looked at."""
     try:
         msgspec.convert(decoded, fields)
     except msgspec.ValidationError as error:
