Tests of nesting follow the limit, and the recursion limit is restored as it was

When the limit became 200 levels, two cases kept figures made for 100: one that should be over the limit passed it, and the waves were not just below it any more; both are now made from the limit. The interpreter's recursion limit was set to 1,000 after a test, whatever it was before.

--- a/tests/cli/test_undecodable_files.py
+++ b/tests/cli/test_undecodable_files.py
@@ -150,26 +150,22 @@
     return folder
 
 
-def arm_commands(folder, tmp_path):
-    return [
-        ["replay", "compare", folder, "--set", "fleet.proxies.ejects=1"],
-        ["recording", "keep", folder, tmp_path / "out"],
-    ]
+def assert_arm_is_rejected(tmp_path, name, data):
+    folder = arm(tmp_path / "arm", name, data)
+    compare = ["replay", "compare", folder, "--set", "fleet.proxies.ejects=1"]
+    for command in (compare, ["recording", "keep", folder, tmp_path / "out"]):
+        result = run(*command)
+        assert_fails_with_one_line(result)
+        assert name in result.stderr
 
 
 # Guards against errors of any type for a recorded request that cannot be decoded, or lacks a field.
 @pytest.mark.parametrize("row", ROWS.values(), ids=ROWS)
 def test_an_arm_with_a_malformed_request_is_rejected(tmp_path, row):
-    for command in arm_commands(arm(tmp_path / "arm", "proxies-0.jsonl", row), tmp_path):
-        result = run(*command)
-        assert_fails_with_one_line(result)
-        assert "proxies-0.jsonl" in result.stderr
+    assert_arm_is_rejected(tmp_path, "proxies-0.jsonl", row)
 
 
 # Guards against errors of any type for a list of the fleet that cannot be decoded, or lacks a field.
 @pytest.mark.parametrize("fleet", FLEETS.values(), ids=FLEETS)
 def test_an_arm_with_a_malformed_fleet_is_rejected(tmp_path, fleet):
-    for command in arm_commands(arm(tmp_path / "arm", "fleet.json", fleet), tmp_path):
-        result = run(*command)
-        assert_fails_with_one_line(result)
-        assert "fleet.json" in result.stderr
+    assert_arm_is_rejected(tmp_path, "fleet.json", fleet)
--- a/tests/net/test_json_decoder.py
+++ b/tests/net/test_json_decoder.py
@@ -59,14 +59,14 @@
         check_nesting(data)
     except NestingTooDeepError:
         return
-    used = len([frame for frame in _frames()])
-    sys.setrecursionlimit(used + MAX_NESTING_DEPTH + 30)
+    usual_limit = sys.getrecursionlimit()
+    sys.setrecursionlimit(len(list(_frames())) + MAX_NESTING_DEPTH + 30)
     try:
         msgspec.json.decode(data)
     except msgspec.DecodeError:
         pass
     finally:
-        sys.setrecursionlimit(1000)
+        sys.setrecursionlimit(usual_limit)
 
 
 def _frames():
@@ -78,8 +78,9 @@
 
 @pytest.mark.parametrize(
     "data",
-    [b"[" * MEBIBYTE, b"[]" * (MEBIBYTE // 2), b'"\\"' * (MEBIBYTE // 3), b"[" * 200 + b"\\" * MEBIBYTE,
-     b'["' * (MEBIBYTE // 2), (b"[" * 99 + b"]" * 99) * 5000],
+    [b"[" * MEBIBYTE, b"[]" * (MEBIBYTE // 2), b'"\\"' * (MEBIBYTE // 3),
+     b"[" * 2 * MAX_NESTING_DEPTH + b"\\" * MEBIBYTE,
+     b'["' * (MEBIBYTE // 2), (b"[" * (MAX_NESTING_DEPTH - 1) + b"]" * (MAX_NESTING_DEPTH - 1)) * 2500],
     ids=["unclosed", "pairs", "escaped quotes", "backslashes", "quotes", "waves"],
 )  # fmt: skip
 def test_hostile_data_of_the_largest_size_is_checked_within_a_second(data):
