--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.  TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+test -x .venv/bin/python || exit 2
+exec .venv/bin/python -B review/10/case.py
