Publish ordinary changes to fleets whose message heads exceed their limit

Cause: the heads of messages to all proxies were counted against the limit of ordinary changes. That limit does not grow with the fleet; the heads do, so from some fleet size on the least change exceeds it in an empty channel.

Change: a change that exceeds the limit by itself may be queued while a drain to all behind it would still be in effect within its grace, or in a channel that acks prove to be empty. Acks of an update are counted, so that rounding leaves no rest of a line that never counts as sent. The simulated channel of the tests delays acks, knows tables of zones and proxies that leave.

--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -22,7 +22,7 @@
     FleetState,
     PublishedAdmission,
 )
-from quillstep.planner.update_budget import UpdateBudget
+from quillstep.planner.update_budget import OrdinaryUpdate, UpdateBudget
 
 URGENT_TIMER = 2  # token of the timer for changes that could not be published at once
 URGENT_RETRY_MS = 0.2 * CONTROL_INTERVAL_MS
@@ -144,15 +144,19 @@
         lines = self._publish_admissions(audience, output)
         written = WrittenUpdates(lines, audience.with_calendar if lines else 0)
         max_urgent = budget.max_urgent_lines(subsets_pending)
-        max_ordinary = budget.max_ordinary_lines(max_urgent, audience.with_calendar != audience.joined)
-        queued = budget.queued_lines + budget.lines_per_message * audience.joined
+        proxies_pending = audience.with_calendar != audience.joined
+        heads = budget.lines_per_message * audience.joined
         for change in sorted(self._wanted_changes(now_ms, wanted), key=lambda change: change.rank):
             is_urgent = change.is_urgent
             cost = self._line_cost(change, audience)
             if cost and not is_urgent and not is_interval_due:
                 continue
             is_over_limit = not budget.fits_limit(self._fixed_lines() + written.lines + cost)
-            is_over_limit |= queued + written.lines + cost > (max_urgent if is_urgent else max_ordinary)
+            if is_urgent:
+                is_over_limit |= budget.queued_lines + heads + written.lines + cost > max_urgent
+            else:
+                update = OrdinaryUpdate(heads + cost, written.lines)
+                is_over_limit |= not budget.fits_ordinary(update, max_urgent, proxies_pending)
             if cost and is_over_limit:
                 fleet.has_urgent_change |= is_urgent  # retried at the next early control interval
                 continue
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from quillstep.planner.messages import PlannerConfig, PlannerOutput
 
@@ -26,11 +27,26 @@
 
 @dataclass(slots=True)
 class InFlightUpdate:
-    """The messages of one interval; each ack advances `sent_lines` by `lines_per_message`."""
+    """The messages of one interval, and how many of them are acknowledged."""
 
-    sent_lines: float
-    lines_per_message: float
+    start_lines: float  # written lines before these messages
     end_lines: float  # written lines up to and including these messages
+    messages: int
+    acks: int = 0
+
+    @property
+    def sent_lines(self) -> float:
+        """Written lines that the acks prove to be sent; messages are taken to be equally long."""
+        if self.acks >= self.messages:
+            return self.end_lines
+        return self.start_lines + (self.end_lines - self.start_lines) / self.messages * self.acks
+
+
+class OrdinaryUpdate(NamedTuple):
+    """The lines of an ordinary change to the proxies."""
+
+    least_lines: float  # the change alone, with the heads of its messages
+    written_lines: float  # changes written before it in the same messages
 
 
 class UpdateBudget:
@@ -55,7 +71,8 @@
         # A limit that is not configured does not restrict updates.
         self.max_queued_lines = config.max_queued_lines or float("inf")
         self.drain_grace_lines = config.drain_grace_ms * config.channel_lines_per_s / 1000.0 or float("inf")
-        self.ack_delay_lines = config.channel_lines_per_s * config.max_update_delay_ms / 1000.0 or float("inf")
+        self.update_delay_lines = config.channel_lines_per_s * config.max_update_delay_ms / 1000.0
+        self.ack_delay_lines = self.update_delay_lines or float("inf")
         self.min_message_gap_ms = 0.0
         if config.max_messages:
             self.min_message_gap_ms = MESSAGE_GAP_FACTOR * config.message_window_ms / config.max_messages
@@ -81,13 +98,12 @@
             update = self.in_flight.get(serial)
             if update is None:
                 continue
-            update.sent_lines = min(update.end_lines, update.sent_lines + update.lines_per_message)
-            if update.sent_lines > self._acked_lines:
-                self._acked_lines = min(self.written_lines, update.sent_lines)
-                self._acked_ms = now_ms
-            if update.sent_lines > self._proven_lines:
-                self._proven_lines = min(self.written_lines, update.sent_lines)
-                self._proven_ms = now_ms
+            update.acks += 1
+            sent_lines = update.sent_lines
+            if sent_lines > self._acked_lines:
+                self._acked_lines, self._acked_ms = sent_lines, now_ms
+            if sent_lines > self._proven_lines:
+                self._proven_lines, self._proven_ms = sent_lines, now_ms
 
     def estimate_sent(self, now_ms: float) -> None:
         """Updates `sent_lines` from the acks, and from the assumed sending rate since the newest of them."""
@@ -138,14 +154,34 @@
         """Returns the limit of queued lines for urgent changes; lower while subsets wait for the channel."""
         return self.ack_delay_lines if subsets_pending else MAX_QUEUE_FRACTION * self.max_queued_lines
 
-    def max_ordinary_lines(self, max_urgent_lines: float, proxies_pending: bool) -> float:
-        """Returns the limit of queued lines for ordinary changes; lower while proxies wait for the calendar."""
-        lines = min(
+    def fits_ordinary(self, change: OrdinaryUpdate, max_urgent_lines: float, proxies_pending: bool) -> bool:
+        """Whether an ordinary change may be queued.
+
+        The limit keeps the queue short for a drain that may follow.  It does not grow with the fleet, but the heads of
+        messages to all proxies do.  A change that exceeds the limit by itself is held to `_lines_before_drain`
+        instead, or waits for an empty channel.
+
+        Args:
+            change: The lines that the change takes.
+            max_urgent_lines: The limit of queued lines for urgent changes.
+            proxies_pending: Whether proxies wait for the calendar; the limit is then lower.
+        """
+        allowed = min(
             max_urgent_lines,
             ORDINARY_QUEUE_FRACTION * self.max_queued_lines,
             ORDINARY_GRACE_FRACTION * self.drain_grace_lines,
         )
-        return lines * (JOINING_ORDINARY_FACTOR if proxies_pending else 1.0)
+        allowed *= JOINING_ORDINARY_FACTOR if proxies_pending else 1.0
+        if change.least_lines <= allowed:
+            return self.queued_lines + change.written_lines + change.least_lines <= allowed
+        oversized = change.least_lines  # fits an empty channel
+        if not proxies_pending:
+            oversized = max(oversized, self._lines_before_drain(change.least_lines))
+        return self._unproven_lines + change.written_lines + change.least_lines <= oversized
+
+    def _lines_before_drain(self, drain_lines: float) -> float:
+        """Returns the queued lines after which a drain of this size still takes effect within its grace."""
+        return self.drain_grace_lines - self.update_delay_lines - drain_lines
 
     def request_ack(self, sent_lines: float, messages: int, output: PlannerOutput) -> None:
         """Requests acks of this interval's messages.
@@ -157,7 +193,5 @@
         """
         self.written_lines += messages  # the ack request adds a line to each message
         self._serial = (self._serial + 1) % MAX_ACK_SERIALS
-        self.in_flight[self._serial] = InFlightUpdate(
-            sent_lines, (self.written_lines - sent_lines) / messages, self.written_lines
-        )
+        self.in_flight[self._serial] = InFlightUpdate(sent_lines, self.written_lines, messages)
         output.request_ack(self._serial)
--- /dev/null
+++ b/tests/fleet_updates.py
@@ -0,0 +1,193 @@
+"""A planner behind a simulated channel, with steady disturbances; starts updates of each kind and times them."""
+
+from random import Random
+from typing import NamedTuple
+
+from planner_harness import ChannelModel, PlannerHarness, class_config, entry, planner_config
+
+STEP_MS = 100.0
+WARM_UP_MS = 18000.0
+SETTLE_STEPS = 190  # until all endpoints are warm
+SETTLE_LIMIT_S = 300.0
+ZONES = ["a", "b", "c", "d"]
+DELISTED_RETENTION_MS = 20000.0
+
+
+class Deployment(NamedTuple):
+    """The size of a fleet, and the limits of its controller's channel."""
+
+    proxies: int
+    endpoints: int
+    lines_per_s: float
+    queued_s: float  # the queue's limit, in seconds of the channel's rate
+    lines_per_message: float = 6.0
+    drain_grace_ms: float = 3000.0
+    max_ack_delay_ms: float = 800.0
+    max_messages: int = 20
+    has_zone_tables: bool = False
+
+    @property
+    def max_queued_lines(self):
+        return self.queued_s * self.lines_per_s
+
+    def lines_to_all(self, lines=1):
+        """Returns the lines of one message with so many changes to each proxy."""
+        return self.proxies * (self.lines_per_message + 1 + lines)
+
+    def config(self):
+        classes = [class_config(), class_config("unsafe", 3.0), class_config("keyed", 2.0)]
+        if self.has_zone_tables:
+            classes[2] = class_config("keyed", 2.0, home_zone_only=True)
+        return planner_config(
+            classes=classes,
+            zones=ZONES,
+            channel_lines_per_s=self.lines_per_s,
+            lines_per_message=self.lines_per_message,
+            max_queued_lines=self.max_queued_lines,
+            drain_grace_ms=self.drain_grace_ms,
+            max_update_delay_ms=self.max_ack_delay_ms,
+            max_messages=self.max_messages,
+            message_window_ms=10000.0,
+            admission="rate",
+        )
+
+
+class Fleet:
+    """A planner, its channel, and what happens to the fleet meanwhile."""
+
+    def __init__(self, deployment, seed=1, disturbances=()):
+        self.deployment, self.random, self.disturbances = deployment, Random(seed), set(disturbances)
+        entries = [self.entry(number) for number in range(deployment.endpoints)]
+        self.harness = PlannerHarness(deployment.config(), entries, proxies=0)
+        self.channel = ChannelModel(self.harness, 1.0, deployment.max_ack_delay_ms / 2.5)
+        self.next_endpoint, self.steps = deployment.endpoints, 0
+        self.replaced, self.lists, self.streams = [], [], []
+        self.limits = dict.fromkeys(range(3), 50.0)
+        self.harness.admission.update = self._set_limits
+        self.streams += [self.stream(number, True) for number in range(deployment.proxies)]
+
+    @staticmethod
+    def stream(number, is_fresh=False):
+        return (number, True, ZONES[number % len(ZONES)], 10.0, is_fresh)
+
+    @staticmethod
+    def entry(number, state="in_service", started=0.0):
+        return entry(number, ZONES[number % len(ZONES)], state, started=started)
+
+    def _set_limits(self, now_ms, is_interval_due):
+        for index, state in enumerate(self.harness.fleet.classes):
+            state.admission_limit = self.limits[index]
+
+    def change(self, *entries):
+        self.lists.append(("partial", list(entries)))
+
+    def step(self):
+        """Plays one step of the channel and the planner, with the disturbances that are due."""
+        self.steps += 1
+        self._disturb()
+        lists, self.lists = self.lists, []
+        streams, self.streams = self.streams, []
+        self.channel.observe(STEP_MS, endpoint_lists=lists, proxy_streams=streams)
+
+    def _disturb(self):
+        every = self.random.random
+        if "weights" in self.disturbances and self.steps % 10 == 0:
+            for state in self.harness.fleet.endpoints.values():
+                state.q_value = 0.3 + 0.7 * every()
+        if "admission" in self.disturbances and self.steps % 5 == 0:
+            self.limits.update({index: 20.0 + 80.0 * every() for index in (0, 1)})
+        if "joins" in self.disturbances:
+            lines = self.deployment.lines_per_message + 10 + 1.5 * self.deployment.endpoints
+            joins_per_step = 0.3 * self.deployment.lines_per_s * STEP_MS / 1000.0 / lines
+            for _ in range(int(joins_per_step + every())):
+                self.streams.append(self.stream(self.random.randrange(self.deployment.proxies - 1)))
+        if "drains" in self.disturbances:
+            span_s = max(0.7, 2.2 * self.deployment.lines_to_all(2) / self.deployment.lines_per_s)
+            if self.steps % int(10 * span_s) == 0:
+                self._replace_endpoint()
+
+    def _replace_endpoint(self):
+        fleet = self.harness.fleet
+        candidates = [id_ for id_, state in fleet.endpoints.items() if state.is_in_service and id_ >= 8]
+        if candidates:
+            self.change(self.entry(self.next_endpoint), self.entry(min(candidates), "terminated"))
+            self.next_endpoint += 1
+
+    def wait_until(self, condition, limit_s):
+        """Returns after how many seconds a condition holds; None if it does not within the limit."""
+        for step in range(int(1000 * limit_s / STEP_MS)):
+            if condition():
+                return step * STEP_MS / 1000.0
+            self.step()
+        return None
+
+    def is_settled(self):
+        return self.harness.fleet.all_proxies_have_calendar() and not self.channel.queue and not self.channel.acks
+
+    # The kinds of updates: each starts one and returns the condition that it has been published.
+
+    def added(self):
+        number, self.next_endpoint = self.next_endpoint, self.next_endpoint + 1
+        self.change(self.entry(number))
+        return lambda: number in self.harness.fleet.endpoints and self._is_in_all_tables(number)
+
+    def _is_in_all_tables(self, number):
+        state = self.harness.endpoint(number)
+        zone = ZONES[number % len(ZONES)]
+        tables = [table.number for table in self.harness.fleet.tables if table.zone in (None, zone)]
+        return not state.is_ejected and all(state.published_slots.get(table) for table in tables)
+
+    def ejected(self):
+        self.change(self.entry(1, "terminating"))
+        return lambda: self.harness.endpoint(1).is_ejected
+
+    def restored(self):
+        state = self.harness.endpoint(2)
+        self.change(self.entry(2, "terminating"))
+        if self.wait_until(lambda: state.is_ejected, 60.0) is None:
+            return lambda: False
+        self.change(self.entry(2))
+        return lambda: not state.is_ejected
+
+    def reweighted(self):
+        state = self.harness.endpoint(3)
+        published = dict(state.published_slots)
+        self.disturbances.discard("weights")
+        for other in self.harness.fleet.endpoints.values():
+            other.q_value = 0.5
+        state.q_value = 1.0
+        return lambda: all(slots > 1.3 * published[table] for table, slots in state.published_slots.items() if slots)
+
+    def limited(self):
+        self.limits[2] = 7.0
+        tables = [table.number for table in self.harness.fleet.tables if 2 in table.classes]
+        state = self.harness.fleet.classes[2]
+        return lambda: all(state.published[table].limit == 7.0 for table in tables)
+
+    def assigned(self):
+        number = self.deployment.proxies - 1
+        self.streams.append(self.stream(number))
+        self.step()
+        return lambda: self.harness.fleet.proxies[number].has_calendar
+
+    def removed(self):
+        self.change(self.entry(4, "terminated"))
+        for _ in range(int(DELISTED_RETENTION_MS / STEP_MS)):
+            self.step()
+        return lambda: 4 not in self.harness.fleet.endpoints
+
+
+KINDS = ("added", "ejected", "restored", "reweighted", "limited", "assigned", "removed")
+
+
+def settled_fleet(deployment, seed=1):
+    """Returns a fleet whose proxies have the calendar, and whose channel is empty."""
+    fleet = Fleet(deployment, seed)
+    waited_s = fleet.wait_until(lambda: fleet.steps > SETTLE_STEPS and fleet.is_settled(), SETTLE_LIMIT_S)
+    assert waited_s is not None, "the proxies never got the calendar"
+    return fleet
+
+
+def time_to_publish(fleet, kind, limit_s):
+    """Starts an update of a kind, and returns the seconds until it is published; None if it is not within the limit."""
+    return fleet.wait_until(getattr(fleet, kind)(), limit_s)
--- a/tests/planner_harness.py
+++ b/tests/planner_harness.py
@@ -1,6 +1,7 @@
 """A planner under test, with a clock and an output that records the planner's calls as tuples."""
 
-from quillstep.planner.assignment import FIRST_SUBSET_TABLE
+from collections import Counter
+
 from quillstep.planner.messages import (
     ClassConfig,
     DownstreamStats,
@@ -116,62 +117,82 @@
 
 
 class ChannelModel:
-    """Simulates a planner's channel line by line; each message that is sent is acknowledged.
+    """Simulates a planner's channel line by line; each message that is sent is acknowledged after a delay.
 
-    `rate_factor` is the sending rate divided by the configured channel rate.
+    `rate_factor` is the sending rate divided by the configured channel rate.  A proxy that leaves takes its messages
+    and acks with it.
     """
 
-    def __init__(self, harness, rate_factor):
-        self.harness, self.rate_factor, self.queue, self.max_queued_lines = harness, rate_factor, [], 0.0
+    def __init__(self, harness, rate_factor, ack_delay_ms=0.0):
+        self.harness, self.rate_factor, self.ack_delay_ms = harness, rate_factor, ack_delay_ms
+        self.queue, self.max_queued_lines = [], 0.0  # messages: remaining lines, serial, proxy, is assignment
+        self.acks = []  # (due time, serial, proxy)
         self.table_endpoints = {}  # endpoints by table
         self.proxy_tables = {}  # table by class, by proxy
         self.first_sent_ms = {}  # time when the first assigned table was sent, by proxy
+        self.message_times = {}  # times at which messages were written, by proxy
         self.enqueue(harness.written_at_start)
 
     def observe(self, after, **observations):
-        capacity, acks = self.harness.config.channel_lines_per_s * self.rate_factor * after / 1000.0, []
+        now_ms = self.harness.now_ms + after
+        self._send(after, now_ms)
+        for stream in observations.get("proxy_streams", ()):
+            self._reset_stream(stream[0])
+        acks = [serial for due_ms, serial, _ in self.acks if due_ms <= now_ms]
+        self.acks = [ack for ack in self.acks if ack[0] > now_ms]
+        self.enqueue(self.harness.observe(after, acks=acks, **observations))
+        return self.harness.written
+
+    def _send(self, after, now_ms):
+        capacity = self.harness.config.channel_lines_per_s * self.rate_factor * after / 1000.0
         while self.queue and capacity >= self.queue[0][0]:
-            capacity -= self.queue[0][0]
-            _, serial, assigned_proxy = self.queue.pop(0)
-            acks.append(serial)
-            if assigned_proxy is not None:
-                self.first_sent_ms.setdefault(assigned_proxy, self.harness.now_ms)
+            lines, serial, proxy, is_assignment = self.queue.pop(0)
+            capacity -= lines
+            self.acks.append((now_ms + self.ack_delay_ms, serial, proxy))
+            if is_assignment:
+                self.first_sent_ms.setdefault(proxy, self.harness.now_ms)
         if self.queue:
             self.queue[0][0] -= capacity
-        self.enqueue(self.harness.observe(after, acks=acks, **observations))
-        return self.harness.written
+
+    def _reset_stream(self, proxy):
+        self.proxy_tables.pop(proxy, None)
+        self.message_times.pop(proxy, None)
+        self.acks = [ack for ack in self.acks if ack[2] != proxy]
+        self.queue = [message for message in self.queue if message[2] != proxy]
 
     def enqueue(self, written):
         """Queues the messages of one run of the planner."""
-        assigned_lines = {}
+        lines = Counter()
+        assigned = {call[1] for call in written if call[0] == "assign_table"}
         for call in written:
             if call[0] == "set_weight":
                 endpoints = self.table_endpoints.setdefault(call[1], set())
                 (endpoints.add if call[3] else endpoints.discard)(call[2])
+            if call[0] in ("set_weight", "set_admission"):
+                users = (proxy for proxy, tables in self.proxy_tables.items() if call[1] in tables.values())
+                cost = len(call[2]) if call[0] == "set_admission" else 1
+                lines.update({proxy: cost for proxy in users if proxy not in assigned})
             if call[0] == "assign_table":
-                lines = sum(
-                    1 + self.harness.endpoint(endpoint).is_ejected for endpoint in self.table_endpoints[call[2]]
-                )
-                assigned_lines[call[1]] = assigned_lines.get(call[1], 0) + 1 + len(call[3]) + lines
+                endpoints = self.table_endpoints.setdefault(call[2], set())
+                lines[call[1]] += 1 + len(call[3]) + sum(1 + self.harness.endpoint(id_).is_ejected for id_ in endpoints)
                 self.proxy_tables.setdefault(call[1], {}).update(dict.fromkeys(call[3], call[2]))
-        ejections = [call[1] for call in written if call[0] == "set_ejected"]
-        changes = sum(call[0] == "set_weight" and call[1] < FIRST_SUBSET_TABLE for call in written)
-        changes += sum(len(call[2]) for call in written if call[0] == "set_admission")
-        for number, proxy in self.harness.fleet.proxies.items():
-            # An ejection takes a line for each proxy whose table lists the endpoint, and for each proxy without an
-            # assigned table, which may use the endpoint.  A table assigned in this run includes its ejections.
-            held = {
-                endpoint
-                for table in self.proxy_tables.get(number, {}).values()
-                for endpoint in self.table_endpoints[table]
-            }
-            sent = [endpoint for endpoint in ejections if number not in self.proxy_tables or endpoint in held]
-            cost = (
-                assigned_lines[number]
-                if number in assigned_lines
-                else (changes if proxy.has_calendar else 0) + len(sent)
-            )
-            if cost:
-                lines = cost + 1 + self.harness.config.lines_per_message
-                self.queue.append([lines, written[-1][1], number if number in assigned_lines else None])
+        self._count_ejections([call[1] for call in written if call[0] == "set_ejected"], assigned, lines)
+        for proxy, cost in lines.items():
+            total = cost + 1 + self.harness.config.lines_per_message
+            self.queue.append([total, written[-1][1], proxy, proxy in assigned])
+            self.message_times.setdefault(proxy, []).append(self.harness.now_ms)
         self.max_queued_lines = max(self.max_queued_lines, sum(cost for cost, *_ in self.queue))
+
+    def _count_ejections(self, ejections, assigned, lines):
+        """Counts a line of each ejection for each proxy whose table lists the endpoint, and for each without a table.
+
+        A table that is assigned in the same run includes its ejections.
+        """
+        for proxy in self.harness.fleet.proxies if ejections else ():
+            if proxy in assigned:
+                continue
+            tables = set(self.proxy_tables.get(proxy, {}).values())
+            held = set().union(*(self.table_endpoints[table] for table in tables))
+            sent = sum(proxy not in self.proxy_tables or endpoint in held for endpoint in ejections)
+            if sent:
+                lines[proxy] += sent
