Count only the lines and messages of an update that go out

Cause: an update of one zone's table was counted as a message to all proxies, and an ejection or removal of an endpoint that no table lists as a line to all. No ack ever came for those messages, so their lines counted as queued until 10 s had passed without an ack. At 400 proxies nothing else fitted beside them: drains, too, were kept back for up to 19 s.

Change: planner/audience.py counts which proxies an update reaches, from the tables that it touches.

--- /dev/null
+++ b/quillstep/planner/audience.py
@@ -0,0 +1,94 @@
+"""The proxies that updates reach: how many lines a change takes over all of them, and how many messages."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from quillstep.planner.endpoint_changes import EndpointChange
+from quillstep.planner.messages import EndpointId
+from quillstep.planner.state import EndpointState, FleetState
+
+
+@dataclass(slots=True)
+class Audience:
+    """Numbers of proxies that updates reach, counted when publishing begins."""
+
+    joined: int
+    with_calendar: int
+    table_users: dict[int, int]  # proxies with the calendar, by calendar table
+    shared_tables: set[int]  # calendar tables that all proxies with the calendar use
+    with_subsets: int  # proxies that use only a subset
+    subset_users: Counter[EndpointId]  # proxies without the calendar, by endpoint of their subsets
+
+    @classmethod
+    def of(cls, fleet: FleetState) -> "Audience":
+        """Counts the joined proxies by their assigned tables."""
+        zones = [proxy.zone for proxy in fleet.proxies.values() if proxy.has_calendar]
+        table_users = {table.number: zones.count(table.zone) if table.zone else len(zones) for table in fleet.tables}
+        shared_tables = {table.number for table in fleet.tables if not table.zone}
+        waiting = [proxy.subsets for proxy in fleet.proxies.values() if not proxy.has_calendar]
+        subset_users = Counter(endpoint for subsets in waiting for subset in subsets for endpoint in subset)
+        with_subsets = sum(map(bool, waiting))
+        return cls(len(fleet.proxies), len(zones), table_users, shared_tables, with_subsets, subset_users)
+
+    @property
+    def unassigned(self) -> int:
+        """Proxies with neither the calendar nor a subset; they use tables of other controllers."""
+        return self.joined - self.with_calendar - self.with_subsets
+
+    def calendar_users(self, tables: set[int]) -> int:
+        """Returns how many proxies with the calendar use any of these tables; a proxy uses that of one zone only."""
+        if tables & self.shared_tables:
+            return self.with_calendar
+        return sum(self.table_users[table] for table in tables)
+
+    def ejection_recipients(self, change: EndpointChange, state: EndpointState) -> int:
+        """Returns how many proxies get an ejection or restoration; a table without the endpoint needs none."""
+        recipients = self.unassigned + self.calendar_users(listing_tables(state))
+        return recipients + (self.subset_users[change.endpoint] if change.is_ejected else self.with_subsets)
+
+    def line_cost(self, change: EndpointChange, state: EndpointState) -> int:
+        """Returns the lines that a change takes, over all proxies."""
+        lines = sum(self.table_users[table] for table in change.slots)
+        if change.is_ejected != state.is_ejected:
+            lines += self.ejection_recipients(change, state)
+        return lines
+
+
+def listing_tables(state: EndpointState) -> set[int]:
+    """Returns the calendar tables that list an endpoint."""
+    return {table for table, slots in state.published_slots.items() if slots}
+
+
+@dataclass(slots=True)
+class WrittenUpdates:
+    """The updates written in one call: lines over all proxies, and which proxies get a message."""
+
+    audience: Audience
+    lines: int = 0
+    tables: set[int] = field(default_factory=set)  # calendar tables whose users get a message
+    reaches_unassigned: bool = False
+    subset_messages: int = 0
+
+    @property
+    def messages(self) -> int:
+        """Proxies that get a message."""
+        audience = self.audience
+        unassigned = audience.unassigned if self.reaches_unassigned else 0
+        return audience.calendar_users(self.tables) + unassigned + min(self.subset_messages, audience.with_subsets)
+
+    def add_admission(self, table: int, lines: int) -> None:
+        """Adds the admission limits of a table."""
+        if lines:
+            self.lines += lines
+            self.tables.add(table)
+
+    def add_change(self, change: EndpointChange, state: EndpointState) -> None:
+        """Adds a change of an endpoint; call before the published state is updated."""
+        audience = self.audience
+        self.lines += audience.line_cost(change, state)
+        self.tables |= change.slots.keys()
+        if change.is_ejected != state.is_ejected:
+            self.tables |= listing_tables(state)
+            self.reaches_unassigned = True
+            is_ejection = change.is_ejected
+            self.subset_messages += audience.subset_users[change.endpoint] if is_ejection else audience.with_subsets
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -87,7 +87,7 @@
 
         Only lines that acks prove to be sent count as sent here: a channel that is slow or stands still sends no acks.
         """
-        return self._unproven_lines + lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
+        return self.unproven_lines + lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
 
     def apply_acks(self, serials: list[int], now_ms: float) -> None:
         """Applies acks, one per proxy and message.
@@ -135,7 +135,7 @@
         return self.queued_lines > JOIN_QUEUE_FRACTION * self.max_queued_lines
 
     @property
-    def _unproven_lines(self) -> float:
+    def unproven_lines(self) -> float:
         """Lines that may still be queued in the channel, for all that acks prove."""
         return self.written_lines - self._proven_lines
 
@@ -145,7 +145,7 @@
         The queue is limited to the lines sent before an ack arrives, because a drain may have to wait behind it.
         """
         window = min(JOIN_QUEUE_FRACTION * self.max_queued_lines, self.ack_delay_lines)
-        if not self._unproven_lines:
+        if not self.unproven_lines:
             return True
         is_empty = self.sent_lines >= self.written_lines
         return (is_empty or self.queued_lines + expected_lines <= window) and self.fits_limit(expected_lines)
@@ -177,7 +177,7 @@
         oversized = change.least_lines  # fits an empty channel
         if not proxies_pending:
             oversized = max(oversized, self._lines_before_drain(change.least_lines))
-        return self._unproven_lines + change.written_lines + change.least_lines <= oversized
+        return self.unproven_lines + change.written_lines + change.least_lines <= oversized
 
     def _lines_before_drain(self, drain_lines: float) -> float:
         """Returns the queued lines after which a drain of this size still takes effect within its grace."""
--- a/tests/fleet_updates.py
+++ b/tests/fleet_updates.py
@@ -5,12 +5,13 @@
 
 from planner_harness import ChannelModel, PlannerHarness, class_config, entry, planner_config
 
+from quillstep.planner.endpoint_changes import DELISTED_RETENTION_MS
+
 STEP_MS = 100.0
 WARM_UP_MS = 18000.0
 SETTLE_STEPS = 190  # until all endpoints are warm
 SETTLE_LIMIT_S = 300.0
 ZONES = ["a", "b", "c", "d"]
-DELISTED_RETENTION_MS = 20000.0
 
 
 class Deployment(NamedTuple):
--- a/tests/planner/test_publishing.py
+++ b/tests/planner/test_publishing.py
@@ -3,8 +3,8 @@
 import pytest
 from planner_harness import PlannerHarness, entry, planner_config
 
+from quillstep.planner.endpoint_changes import DELISTED_RETENTION_MS
 from quillstep.planner.outliers import endpoints_in_use
-from quillstep.planner.publishing import DELISTED_RETENTION_MS
 from quillstep.planner.state import CONTROL_INTERVAL_MS
 
 RETENTION_INTERVALS = int(DELISTED_RETENTION_MS / CONTROL_INTERVAL_MS)
