--- a/quillstep/planner/audience.py
+++ b/quillstep/planner/audience.py
@@ -30,35 +30,29 @@
         with_subsets = sum(map(bool, waiting))
         return cls(len(fleet.proxies), len(zones), table_users, shared_tables, with_subsets, subset_users)
 
-    @property
-    def unassigned(self) -> int:
-        """Proxies with neither the calendar nor a subset; they use tables of other controllers."""
-        return self.joined - self.with_calendar - self.with_subsets
-
     def calendar_users(self, tables: set[int]) -> int:
         """Returns how many proxies with the calendar use any of these tables; a proxy uses that of one zone only."""
         if tables & self.shared_tables:
             return self.with_calendar
         return sum(self.table_users[table] for table in tables)
 
-    def ejection_recipients(self, change: EndpointChange, state: EndpointState) -> int:
-        """Returns how many proxies get an ejection or restoration; a table without the endpoint needs none."""
-        recipients = self.unassigned + self.calendar_users(listing_tables(state))
-        return recipients + (self.subset_users[change.endpoint] if change.is_ejected else self.with_subsets)
+    @property
+    def outside_subsets(self) -> int:
+        """Proxies with the calendar or with tables of other controllers."""
+        return self.joined - self.with_subsets
+
+    def ejection_recipients(self, change: EndpointChange) -> int:
+        """Returns how many proxies get an ejection or restoration; a subset without the endpoint needs no ejection."""
+        return self.outside_subsets + self.subset_users[change.endpoint] if change.is_ejected else self.joined
 
     def line_cost(self, change: EndpointChange, state: EndpointState) -> int:
         """Returns the lines that a change takes, over all proxies."""
         lines = sum(self.table_users[table] for table in change.slots)
         if change.is_ejected != state.is_ejected:
-            lines += self.ejection_recipients(change, state)
+            lines += self.ejection_recipients(change)
         return lines
 
 
-def listing_tables(state: EndpointState) -> set[int]:
-    """Returns the calendar tables that list an endpoint."""
-    return {table for table, slots in state.published_slots.items() if slots}
-
-
 @dataclass(slots=True)
 class WrittenUpdates:
     """The updates written in one call: lines over all proxies, and which proxies get a message."""
@@ -66,15 +60,16 @@
     audience: Audience
     lines: int = 0
     tables: set[int] = field(default_factory=set)  # calendar tables whose users get a message
-    reaches_unassigned: bool = False
+    has_ejections: bool = False
     subset_messages: int = 0
 
     @property
     def messages(self) -> int:
         """Proxies that get a message."""
         audience = self.audience
-        unassigned = audience.unassigned if self.reaches_unassigned else 0
-        return audience.calendar_users(self.tables) + unassigned + min(self.subset_messages, audience.with_subsets)
+        if self.has_ejections:
+            return min(audience.joined, audience.outside_subsets + self.subset_messages)
+        return audience.calendar_users(self.tables)
 
     def add_admission(self, table: int, lines: int) -> None:
         """Adds the admission limits of a table."""
@@ -88,7 +83,5 @@
         self.lines += audience.line_cost(change, state)
         self.tables |= change.slots.keys()
         if change.is_ejected != state.is_ejected:
-            self.tables |= listing_tables(state)
-            self.reaches_unassigned = True
-            is_ejection = change.is_ejected
-            self.subset_messages += audience.subset_users[change.endpoint] if is_ejection else audience.with_subsets
+            self.has_ejections = True
+            self.subset_messages += audience.ejection_recipients(change) - audience.outside_subsets
