Keep no kind of update back for good behind limits or steady other updates

(1) An admission limit was held to room for all classes of its table, a removal to three lines for each proxy, whatever was due; both exceed an empty channel from some fleet size on. (2) Limits and order prefer kinds: proxies that join all the time kept the limit of ordinary changes halved and the channel busy; drains just before each interval kept ordinary changes from the spacing of messages; moving limits or weights took the room of smaller changes and of removals; calendars waited for a pass in which no proxy joins.

Change: what exceeds an empty channel goes out in parts of one line to each proxy. A kind that has been due for ten intervals without one of it going out has the channel reserved for it (overdue_updates.py); a removal after thirty. Changes that waited for thirty are not overtaken by larger ones.

Evidence: tests/planner/test_update_progress.py plays each kind beside steady weights, limits, joins and drains in drawn fleets.

--- a/quillstep/planner/assignment.py
+++ b/quillstep/planner/assignment.py
@@ -8,11 +8,13 @@
 from collections.abc import Iterable
 
 from quillstep.planner.messages import EndpointId, PlannerOutput
-from quillstep.planner.state import CalendarTable, FleetState, JoinedProxy
+from quillstep.planner.state import CONTROL_INTERVAL_MS, CalendarTable, FleetState, JoinedProxy
 from quillstep.planner.update_budget import ASSUMED_RATE_FRACTION, UpdateBudget
 
 FIRST_SUBSET_TABLE = 1000  # lower numbers are calendar tables
 
+MAX_REORDERING_MS = 60 * CONTROL_INTERVAL_MS  # proxies that have waited for longer are not overtaken
+
 
 class TableAssigner:
     """Assigns tables within the update budget; each assignment is one message to its proxy."""
@@ -38,12 +40,17 @@
             return []
         return [number for number in waiting if may_lack_usable_endpoint(self.fleet.proxies[number], ejected)]
 
-    def proxies_awaiting_calendar(self) -> list[int]:
-        """Returns the proxies without the calendar, in descending order of request rate."""
+    def proxies_awaiting_calendar(self, now_ms: float) -> list[int]:
+        """Returns the proxies without the calendar: by MAX_REORDERING_MS of waiting, then by request rate, descending.
+
+        Proxies with few requests must not wait for all others that join meanwhile.
+        """
         waiting = [
-            (sum(proxy.request_rates), number) for number, proxy in self.fleet.proxies.items() if not proxy.has_calendar
+            ((now_ms - proxy.joined_ms) // MAX_REORDERING_MS, sum(proxy.request_rates), number)
+            for number, proxy in self.fleet.proxies.items()
+            if not proxy.has_calendar
         ]
-        return [number for _, number in sorted(waiting, reverse=True)]
+        return [number for *_, number in sorted(waiting, reverse=True)]
 
     def assign_calendar(self, proxies: Iterable[int], output: PlannerOutput) -> int:
         """Assigns the calendar to proxies within the budget, in the given order; returns the number of messages."""
--- a/quillstep/planner/endpoint_changes.py
+++ b/quillstep/planner/endpoint_changes.py
@@ -10,6 +10,7 @@
 from quillstep.planner.calendar import SLOTS_PER_ENDPOINT, Calendar
 from quillstep.planner.capacity import warm_up_fraction
 from quillstep.planner.messages import EndpointId
+from quillstep.planner.overdue_updates import UpdateKind
 from quillstep.planner.state import CONTROL_INTERVAL_MS, EndpointState, FleetState
 
 MIN_RELATIVE_CHANGE = 0.1  # smaller changes, relative to the published value, are not published
@@ -25,11 +26,23 @@
     endpoint: EndpointId
     slots: dict[int, int]  # by table number
     is_ejected: bool
+    is_removal: bool = False
 
     @property
-    def is_urgent(self) -> bool:
-        """Whether the change is published at once, before all changes that are not urgent."""
-        return self.rank <= URGENT_RANK
+    def kind(self) -> UpdateKind:
+        """Urgent changes are published at once, before all others."""
+        if self.rank <= URGENT_RANK:
+            return UpdateKind.URGENT
+        return UpdateKind.REMOVAL if self.is_removal else UpdateKind.ORDINARY
+
+    def parts(self, state: EndpointState) -> list["EndpointChange"]:
+        """Returns the change as changes of at most one line to each proxy, in the order in which they must be made.
+
+        Weights precede a restoration: an endpoint must not be used with the weights that it had before.
+        """
+        moved = {table: slots for table, slots in self.slots.items() if slots != state.published_slots.get(table, 0)}
+        weights = [self._replace(slots={table: slots}, is_ejected=state.is_ejected) for table, slots in moved.items()]
+        return [*weights, self._replace(slots={})] if self.is_ejected != state.is_ejected else weights
 
 
 class EndpointChanges:
@@ -41,10 +54,11 @@
     def due(self, now_ms: float) -> Iterator[EndpointChange]:
         """Yields the changes that are due."""
         wanted = {table.number: self.calendar.slots(table.zone, now_ms) for table in self.fleet.tables}
+        can_remove = self.fleet.all_proxies_have_calendar()
         for id_, state in self.fleet.endpoints.items():
             slots = {table: calendar.get(id_, 0) for table, calendar in wanted.items()}
-            if self._can_remove(state, now_ms):
-                yield EndpointChange(0.0, id_, dict.fromkeys(state.published_slots, 0), False)
+            if can_remove and self._is_removable(state, now_ms):
+                yield EndpointChange(0.0, id_, dict.fromkeys(state.published_slots, 0), False, True)
             elif any(slots.values()):
                 change = self._slot_change(id_, state, slots, now_ms)
                 if change:
@@ -77,15 +91,16 @@
         """Whether an endpoint is not in service, or is still warming up."""
         return not state.is_in_service or warm_up_fraction(self.fleet.config, state, now_ms) < 1.0
 
-    def _can_remove(self, state: EndpointState, now_ms: float) -> bool:
-        """Whether a delisted endpoint can be removed from the tables.
+    def removable(self, now_ms: float) -> list[EndpointId]:
+        """Returns the delisted endpoints that are removed from the tables once all proxies have the calendar."""
+        return [id_ for id_, state in self.fleet.endpoints.items() if self._is_removable(state, now_ms)]
+
+    def _is_removable(self, state: EndpointState, now_ms: float) -> bool:
+        """Whether a delisted endpoint is to be removed from the tables.
 
         Endpoints are replaced under new ids all the time, so tables would grow without removal.  Removal restores the
         ejected endpoint, so it waits until all proxies have the calendar: others may still hold the endpoint.
         """
         return (
-            state.delisted_ms is not None
-            and now_ms - state.delisted_ms >= DELISTED_RETENTION_MS
-            and state.is_ejected
-            and self.fleet.all_proxies_have_calendar()
+            state.delisted_ms is not None and now_ms - state.delisted_ms >= DELISTED_RETENTION_MS and state.is_ejected
         )
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -5,31 +5,107 @@
 MIN_RELATIVE_CHANGE.
 """
 
+from enum import Enum, auto
+from typing import NamedTuple
+
 from quillstep.planner.assignment import TableAssigner
 from quillstep.planner.audience import Audience, WrittenUpdates
 from quillstep.planner.calendar import Calendar
 from quillstep.planner.endpoint_changes import MIN_RELATIVE_CHANGE, EndpointChange, EndpointChanges
-from quillstep.planner.messages import PlannerOutput
-from quillstep.planner.state import CONTROL_INTERVAL_MS, CalendarTable, FleetState, PublishedAdmission
+from quillstep.planner.messages import EndpointId, PlannerOutput
+from quillstep.planner.overdue_updates import MAX_WAIT_MS, OverdueUpdates, UpdateKind
+from quillstep.planner.state import (
+    CONTROL_INTERVAL_MS,
+    CalendarTable,
+    EndpointState,
+    FleetState,
+    PublishedAdmission,
+)
 from quillstep.planner.update_budget import OrdinaryUpdate, UpdateBudget
 
 URGENT_TIMER = 2  # token of the timer for changes that could not be published at once
 URGENT_RETRY_MS = 0.2 * CONTROL_INTERVAL_MS
+MAX_OVERTAKEN_MS = 3 * MAX_WAIT_MS  # changes that have waited for longer are not overtaken by larger ones
 NOT_PUBLISHED = PublishedAdmission(0.0, -1)
 
 
+class SubsetAssignments(NamedTuple):
+    """How many proxies were assigned a subset, and how many still wait for one."""
+
+    assigned: int
+    pending: int
+
+
+class Precedence(Enum):
+    """Which limit a change that is not urgent is held to."""
+
+    NONE = auto()  # the usual one
+    OVERDUE = auto()  # a drain behind it must be in time
+    FIRST_OF_KIND = auto()  # the channel's limit
+
+
+class ChangeLimits:
+    """Which changes of endpoints fit the channel in one pass."""
+
+    def __init__(self, budget: UpdateBudget, audience: Audience, max_urgent_lines: float) -> None:
+        self.budget, self.audience, self.max_urgent_lines = budget, audience, max_urgent_lines
+        self.head_lines = budget.lines_per_message * audience.joined
+        self.fixed_lines = self.head_lines + audience.joined  # heads and ack requests
+
+    def parts_to_publish(
+        self, change: EndpointChange, state: EndpointState, written_lines: int, precedence: Precedence
+    ) -> list[EndpointChange]:
+        """Returns the change itself, or its parts if the whole exceeds even an empty channel, or is overdue."""
+        lines = self.fixed_lines + self.audience.line_cost(change, state)
+        if precedence is Precedence.FIRST_OF_KIND:
+            fits = self.budget.fits_limit(lines + written_lines)
+        else:
+            fits = self.budget.fits_empty_channel(lines)
+        return [change] if fits else change.parts(state)
+
+    def fits(self, change: EndpointChange, state: EndpointState, written_lines: int, precedence: Precedence) -> bool:
+        """Whether a change may be queued behind the lines already written in this pass.
+
+        Args:
+            change: The change.
+            state: The endpoint's state before the change.
+            written_lines: Lines of the changes before it.
+            precedence: Which limit the change is held to, unless it is urgent.
+        """
+        lines = self.audience.line_cost(change, state)
+        if not self.budget.fits_limit(self.fixed_lines + written_lines + lines):
+            return False
+        if change.kind is UpdateKind.URGENT:
+            return self.budget.queued_lines + self.head_lines + written_lines + lines <= self.max_urgent_lines
+        if precedence is Precedence.FIRST_OF_KIND:
+            return True
+        update = OrdinaryUpdate(lines, self.head_lines, written_lines)
+        if precedence is Precedence.OVERDUE and self.budget.fits_before_drain(update):
+            return True
+        proxies_pending = self.audience.with_calendar != self.audience.joined
+        return self.budget.fits_ordinary(update, self.max_urgent_lines, proxies_pending)
+
+
 class Publisher:
     """Publishes changes and assigns tables within the update budget."""
 
     def __init__(self, fleet: FleetState, calendar: Calendar, budget: UpdateBudget, assigner: TableAssigner) -> None:
         self.fleet, self.budget, self.assigner = fleet, budget, assigner
         self.changes = EndpointChanges(fleet, calendar)
+        self.overdue = OverdueUpdates()
+        self._waiting_since_ms: dict[EndpointId, float] = {}  # changes that were due and did not fit
+        self._limits_waiting_since_ms: dict[tuple[int, int], float] = {}  # by table and class
         self._retry_ms = self._published_ms = float("-inf")
 
     def publish(self, now_ms: float, is_interval_due: bool, output: PlannerOutput) -> None:
         """Writes all due updates that fit the budget, and requests acks for them."""
-        fleet, budget, assigner = self.fleet, self.budget, self.assigner
+        fleet, budget, overdue = self.fleet, self.budget, self.overdue
         budget.estimate_sent(now_ms)
+        without_endpoint = self.assigner.proxies_without_usable_endpoint()
+        has_calendar = fleet.all_proxies_have_calendar()
+        overdue.keep_waiting(UpdateKind.SUBSET, bool(without_endpoint))
+        overdue.keep_waiting(UpdateKind.CALENDAR, not has_calendar)
+        overdue.reserve(now_ms, may_remove=has_calendar)
         # Messages to all proxies are spaced out: failures that arrive one by one must not use up the message limit.
         may_message_all = (
             not budget.is_congested()
@@ -37,27 +113,59 @@
             and budget.fits_limit(self._fixed_lines())
         )
         written_before = budget.written_lines
-        without_endpoint = assigner.proxies_without_usable_endpoint()
-        messages = assigner.assign_subsets(without_endpoint, output)
-        if (is_interval_due or fleet.has_urgent_change) and may_message_all:
+        subsets = self._assign_subsets(now_ms, without_endpoint, output)
+        messages = subsets.assigned
+        # Proxies that join all the time would keep removals back if these were not due right after an assignment.
+        is_removal_overdue = overdue.is_overdue(UpdateKind.REMOVAL, now_ms)
+        if is_removal_overdue:
+            messages += self._assign_calendar(now_ms, subsets, output)
+        has_changes = is_interval_due or fleet.has_urgent_change or is_removal_overdue or overdue.reserved
+        if has_changes and may_message_all:
             fleet.has_urgent_change = False
-            subsets_pending = messages < len(without_endpoint)
+            subsets_pending = subsets.pending > 0 and overdue.allows(UpdateKind.SUBSET)
             published = self.publish_changes(now_ms, is_interval_due, subsets_pending, output)
             self._published_ms = now_ms if published else self._published_ms
             messages += published
-        if not without_endpoint:
-            messages += assigner.assign_calendar(assigner.proxies_awaiting_calendar(), output)
+        elif is_interval_due:
+            self._record_waiting(now_ms)
+        if not is_removal_overdue:
+            messages += self._assign_calendar(now_ms, subsets, output)
         self._schedule_retry(now_ms, output)
         if messages:
             budget.request_ack(written_before, messages, output)
 
+    def _assign_subsets(self, now_ms: float, without_endpoint: list[int], output: PlannerOutput) -> SubsetAssignments:
+        """Assigns subsets to the proxies without a usable endpoint, as the budget allows."""
+        assigned = 0
+        if self.overdue.allows(UpdateKind.SUBSET):
+            assigned = self.assigner.assign_subsets(without_endpoint, output)
+        pending = len(without_endpoint) - assigned
+        self.overdue.record(UpdateKind.SUBSET, now_ms, assigned > 0, pending > 0)
+        return SubsetAssignments(assigned, pending)
+
+    def _assign_calendar(self, now_ms: float, subsets: SubsetAssignments, output: PlannerOutput) -> int:
+        """Assigns the calendar as the budget allows; returns the number of messages.
+
+        Calendars wait until a pass in which no proxy needs a subset; overdue ones only until all subsets are assigned.
+        """
+        overdue = self.overdue
+        is_overdue = any(overdue.is_overdue(kind, now_ms) for kind in (UpdateKind.CALENDAR, UpdateKind.REMOVAL))
+        may_assign = not subsets.pending and (is_overdue or not subsets.assigned)
+        assigned = 0
+        if may_assign and overdue.allows(UpdateKind.CALENDAR):
+            assigned = self.assigner.assign_calendar(self.assigner.proxies_awaiting_calendar(now_ms), output)
+        is_waiting = not self.fleet.all_proxies_have_calendar()
+        overdue.record(UpdateKind.CALENDAR, now_ms, assigned > 0, is_waiting)
+        return assigned
+
     def _fixed_lines(self) -> float:
         """Returns the lines of messages to all proxies besides those of changes: heads and ack requests."""
         return len(self.fleet.proxies) * (self.budget.lines_per_message + 1)
 
     def _schedule_retry(self, now_ms: float, output: PlannerOutput) -> None:
-        """Requests an early control interval if urgent changes or assignments are still pending."""
+        """Requests an early control interval if urgent changes, assignments or overdue updates are still pending."""
         is_pending = self.fleet.has_urgent_change or not self.fleet.all_proxies_have_calendar()
+        is_pending |= self.overdue.reserved is not None
         if is_pending and self._retry_ms <= now_ms:
             self._retry_ms = now_ms + URGENT_RETRY_MS
             output.set_timer(URGENT_TIMER, self._retry_ms)
@@ -76,33 +184,76 @@
         Returns:
             The number of messages.
         """
-        fleet, budget = self.fleet, self.budget
-        audience = Audience.of(fleet)
+        audience = Audience.of(self.fleet)
         written = WrittenUpdates(audience)
-        self._publish_admissions(written, output)
-        max_urgent = budget.max_urgent_lines(subsets_pending)
-        proxies_pending = audience.with_calendar != audience.joined
-        heads = budget.lines_per_message * audience.joined
-        for change in sorted(self.changes.due(now_ms), key=lambda change: change.rank):
-            is_urgent = change.is_urgent
-            state = fleet.endpoints[change.endpoint]
-            cost = audience.line_cost(change, state)
-            if cost and not is_urgent and not is_interval_due:
-                continue
-            is_over_limit = not budget.fits_limit(self._fixed_lines() + written.lines + cost)
-            if is_urgent:
-                is_over_limit |= budget.queued_lines + heads + written.lines + cost > max_urgent
-            else:
-                update = OrdinaryUpdate(heads + cost, written.lines)
-                is_over_limit |= not budget.fits_ordinary(update, max_urgent, proxies_pending)
-            if cost and is_over_limit:
-                fleet.has_urgent_change |= is_urgent  # retried at the next early control interval
-                continue
-            written.add_change(change, state)
-            self._write_change(change, output)
-        budget.written_lines += written.lines + budget.lines_per_message * written.messages
+        due = sorted(self.changes.due(now_ms), key=lambda change: self._publishing_order(change, now_ms))
+        self._publish_admissions(now_ms, written, self._urgent_lines(due, audience), output)
+        limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending))
+        published: set[UpdateKind] = set()
+        waiting: dict[EndpointId, UpdateKind] = {}
+        for change in due:
+            state = self.fleet.endpoints[change.endpoint]
+            precedence = self._precedence(change, published, now_ms)
+            for part in limits.parts_to_publish(change, state, written.lines, precedence):
+                cost = audience.line_cost(part, state)
+                precedence = self._precedence(change, published, now_ms)
+                is_due = is_interval_due or precedence is not Precedence.NONE or change.kind is UpdateKind.URGENT
+                may_publish = is_due and self.overdue.allows(change.kind)
+                if cost and not (may_publish and limits.fits(part, state, written.lines, precedence)):
+                    waiting[change.endpoint] = change.kind
+                    break
+                written.add_change(part, state)
+                self._write_change(part, output)
+                if cost:
+                    published.add(change.kind)
+        self._record_changes(now_ms, published, waiting)
+        self.budget.written_lines += written.lines + self.budget.lines_per_message * written.messages
         return written.messages
 
+    def _publishing_order(self, change: EndpointChange, now_ms: float) -> tuple[int, float]:
+        """Returns the key to sort by: urgent changes, changes that have waited for too long, then the others."""
+        since_ms = self._waiting_since_ms.get(change.endpoint, now_ms)
+        is_kind_overdue = self.overdue.is_overdue(change.kind, now_ms)
+        max_wait_ms = MAX_WAIT_MS if is_kind_overdue else MAX_OVERTAKEN_MS
+        if change.kind is not UpdateKind.URGENT and now_ms - since_ms >= max_wait_ms:
+            return 1, since_ms
+        return (0 if change.kind is UpdateKind.URGENT else 2), change.rank
+
+    def _precedence(self, change: EndpointChange, published: set[UpdateKind], now_ms: float) -> Precedence:
+        """Returns which limit a change that is not urgent is held to; `published`: kinds published in this pass."""
+        is_kind_overdue = self.overdue.reserved is change.kind
+        if change.kind is UpdateKind.REMOVAL:
+            is_kind_overdue = self.overdue.is_overdue(change.kind, now_ms)
+        if not is_kind_overdue:
+            return Precedence.NONE
+        if change.kind not in published:
+            return Precedence.FIRST_OF_KIND
+        since_ms = self._waiting_since_ms.get(change.endpoint, now_ms)
+        return Precedence.OVERDUE if now_ms - since_ms >= MAX_WAIT_MS else Precedence.NONE
+
+    def _urgent_lines(self, due: list[EndpointChange], audience: Audience) -> int:
+        """Returns the lines of the first urgent change; 0 if there is none."""
+        if not due or due[0].kind is not UpdateKind.URGENT:
+            return 0
+        return audience.line_cost(due[0], self.fleet.endpoints[due[0].endpoint])
+
+    def _record_changes(self, now_ms: float, published: set[UpdateKind], waiting: dict[EndpointId, UpdateKind]) -> None:
+        """Records which changes were published, and which are still due."""
+        self.fleet.has_urgent_change |= UpdateKind.URGENT in waiting.values()  # retried at an early control interval
+        self._waiting_since_ms = {endpoint: self._waiting_since_ms.get(endpoint, now_ms) for endpoint in waiting}
+        for kind in (UpdateKind.URGENT, UpdateKind.ORDINARY):
+            self.overdue.record(kind, now_ms, kind in published, kind in waiting.values())
+        # A removal that waits for a proxy's calendar is not among the changes that are due.
+        is_removal_waiting = bool(self.changes.removable(now_ms))
+        self.overdue.record(UpdateKind.REMOVAL, now_ms, UpdateKind.REMOVAL in published, is_removal_waiting)
+
+    def _record_waiting(self, now_ms: float) -> None:
+        """Records what is due in a control interval in which nothing can be sent to all proxies."""
+        waiting = {change.endpoint: change.kind for change in self.changes.due(now_ms)}
+        self._record_changes(now_ms, set(), waiting)
+        has_admissions = any(self._changed_classes(table) for table in self.fleet.tables)
+        self.overdue.record(UpdateKind.ADMISSION, now_ms, False, has_admissions)
+
     def _write_change(self, change: EndpointChange, output: PlannerOutput) -> None:
         state = self.fleet.endpoints[change.endpoint]
         for table, slots in change.slots.items():
@@ -114,23 +265,55 @@
         if state.delisted_ms is not None and not change.is_ejected:
             del self.fleet.endpoints[change.endpoint]
 
-    def _publish_admissions(self, written: WrittenUpdates, output: PlannerOutput) -> None:
-        """Writes the changed limits and retry policies of the tables that fit the channel."""
+    def _publish_admissions(
+        self, now_ms: float, written: WrittenUpdates, urgent_lines: int, output: PlannerOutput
+    ) -> None:
+        """Writes the changed limits and retry policies that fit the channel.
+
+        The classes of a table are published together; one by one, beside an urgent change, if together they never fit.
+        """
+        fixed_lines = self._fixed_lines()
+        oversized: list[tuple[CalendarTable, int]] = []
+        waiting: set[tuple[int, int]] = set()
         for table in self.fleet.tables:
             users = written.audience.table_users[table.number]
-            most_lines = written.lines + users * len(table.classes)
-            if not users or self.budget.fits_limit(self._fixed_lines() + most_lines):
-                written.add_admission(table.number, users * self._publish_admission(table, output))
+            table_lines = users * len(table.classes)
+            changed = [(table, index) for index in self._changed_classes(table)]
+            if not self.budget.fits_empty_channel(fixed_lines + table_lines):
+                oversized += changed
+                continue
+            is_allowed = self.overdue.allows(UpdateKind.ADMISSION)
+            if not users or (is_allowed and self.budget.fits_limit(fixed_lines + written.lines + table_lines)):
+                self._publish_admission(changed, written, output)
+            else:
+                waiting |= {(table.number, index) for _, index in changed}
+        since_ms = self._limits_waiting_since_ms
+        for table, index in sorted(oversized, key=lambda row: since_ms.get((row[0].number, row[1]), now_ms)):
+            lines = written.lines + written.audience.table_users[table.number] + urgent_lines
+            if self.overdue.allows(UpdateKind.ADMISSION) and self.budget.fits_limit(fixed_lines + lines):
+                self._publish_admission([(table, index)], written, output)
+            else:
+                waiting.add((table.number, index))
+        self._limits_waiting_since_ms = {key: since_ms.get(key, now_ms) for key in waiting}
+        self.overdue.record(UpdateKind.ADMISSION, now_ms, written.lines > 0, bool(waiting))
 
-    def _publish_admission(self, table: CalendarTable, output: PlannerOutput) -> int:
-        """Writes a table's changed limits and retry policies, and returns the number of changes."""
-        changes = 0
+    def _changed_classes(self, table: CalendarTable) -> list[int]:
+        """Returns the classes of a table whose limit or retry policy is to be published."""
+        changed = []
         for index in table.classes:
             state = self.fleet.classes[index]
             limit, retry_policy = state.published.get(table.number, NOT_PUBLISHED)
             has_limit_moved = abs(state.admission_limit - limit) > MIN_RELATIVE_CHANGE * limit
             if state.retry_policy != retry_policy or has_limit_moved:
-                output.set_admission(table.number, [index], state.admission_limit, state.retry_policy)
-                state.published[table.number] = PublishedAdmission(state.admission_limit, state.retry_policy)
-                changes += 1
-        return changes
+                changed.append(index)
+        return changed
+
+    def _publish_admission(
+        self, changed: list[tuple[CalendarTable, int]], written: WrittenUpdates, output: PlannerOutput
+    ) -> None:
+        """Writes the limits and retry policies of classes in tables."""
+        for table, index in changed:
+            state = self.fleet.classes[index]
+            output.set_admission(table.number, [index], state.admission_limit, state.retry_policy)
+            state.published[table.number] = PublishedAdmission(state.admission_limit, state.retry_policy)
+            written.add_admission(table.number, written.audience.table_users[table.number])
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -79,6 +79,7 @@
 
     zone: str
     request_rates: list[float]
+    joined_ms: float
     subsets: list[list[EndpointId]] = field(default_factory=list)  # endpoints of each assigned subset
     has_calendar: bool = False
     has_reported: bool = False
@@ -159,7 +160,7 @@
             self.last_proxy_change_ms = now_ms
         if event.is_open:
             expected = event.expected_requests_per_s / max(1, len(self.classes))
-            self.proxies[event.proxy] = JoinedProxy(event.zone, [expected] * len(self.classes))
+            self.proxies[event.proxy] = JoinedProxy(event.zone, [expected] * len(self.classes), now_ms)
             if not event.is_fresh:
                 self.last_migration_ms = self.last_proxy_change_ms = now_ms
                 self.has_urgent_change = True
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -45,9 +45,15 @@
 class OrdinaryUpdate(NamedTuple):
     """The lines of an ordinary change to the proxies."""
 
-    least_lines: float  # the change alone, with the heads of its messages
+    lines: float  # of the change
+    head_lines: float  # of its messages
     written_lines: float  # changes written before it in the same messages
 
+    @property
+    def least_lines(self) -> float:
+        """Lines of messages that contain this change alone."""
+        return self.head_lines + self.lines
+
 
 class UpdateBudget:
     """Counts the lines in the channel, and limits how many more may be written.
@@ -89,6 +95,10 @@
         """
         return self.unproven_lines + lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
 
+    def fits_empty_channel(self, lines: float) -> bool:
+        """Whether this many lines fit the limit while nothing else is queued."""
+        return lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
+
     def apply_acks(self, serials: list[int], now_ms: float) -> None:
         """Applies acks, one per proxy and message.
 
@@ -158,8 +168,8 @@
         """Whether an ordinary change may be queued.
 
         The limit keeps the queue short for a drain that may follow.  It does not grow with the fleet, but the heads of
-        messages to all proxies do.  A change that exceeds the limit by itself is held to `_lines_before_drain`
-        instead, or waits for an empty channel.
+        messages to all proxies do.  Where these alone leave no room for the change, the limit applies to the changes
+        without heads in an empty channel, and `fits_before_drain` applies in any other.
 
         Args:
             change: The lines that the change takes.
@@ -174,14 +184,14 @@
         allowed *= JOINING_ORDINARY_FACTOR if proxies_pending else 1.0
         if change.least_lines <= allowed:
             return self.queued_lines + change.written_lines + change.least_lines <= allowed
-        oversized = change.least_lines  # fits an empty channel
-        if not proxies_pending:
-            oversized = max(oversized, self._lines_before_drain(change.least_lines))
-        return self.unproven_lines + change.written_lines + change.least_lines <= oversized
-
-    def _lines_before_drain(self, drain_lines: float) -> float:
-        """Returns the queued lines after which a drain of this size still takes effect within its grace."""
-        return self.drain_grace_lines - self.update_delay_lines - drain_lines
+        if self.unproven_lines <= 0.0:
+            return change.written_lines + change.lines <= max(change.lines, allowed)
+        return not proxies_pending and self.fits_before_drain(change)
+
+    def fits_before_drain(self, change: OrdinaryUpdate) -> bool:
+        """Whether a drain of the same size behind a change still takes effect within its grace."""
+        queued_lines = self.unproven_lines + change.written_lines + change.least_lines
+        return queued_lines + change.least_lines + self.update_delay_lines <= self.drain_grace_lines
 
     def request_ack(self, sent_lines: float, messages: int, output: PlannerOutput) -> None:
         """Requests acks of this interval's messages.
--- a/tests/fleet_updates.py
+++ b/tests/fleet_updates.py
@@ -1,14 +1,18 @@
-"""A planner behind a simulated channel, with steady disturbances; starts updates of each kind and times them."""
+"""A planner behind a simulated channel, with steady updates that compete for it; times updates of each kind."""
 
 from random import Random
 from typing import NamedTuple
 
 from planner_harness import ChannelModel, PlannerHarness, class_config, entry, planner_config
 
-from quillstep.planner.endpoint_changes import DELISTED_RETENTION_MS
+from quillstep.planner.endpoint_changes import DELISTED_RETENTION_MS, MIN_RELATIVE_CHANGE
 
 STEP_MS = 100.0
-WARM_UP_MS = 18000.0
+KEPT_ENDPOINTS = 5  # the first ones are not replaced by the competing updates
+MESSAGE_WINDOW_MS = 10000.0
+JOINS_SHARE = 0.3  # of the channel, that proxies which join again take
+MIN_STREAM_MS = 10000.0  # a proxy's stream lasts that long on average, or longer
+MIN_REPLACEMENT_S = 0.7  # between two endpoints that are replaced
 SETTLE_STEPS = 190  # until all endpoints are warm
 SETTLE_LIMIT_S = 300.0
 ZONES = ["a", "b", "c", "d"]
@@ -35,6 +39,11 @@
         """Returns the lines of one message with so many changes to each proxy."""
         return self.proxies * (self.lines_per_message + 1 + lines)
 
+    def max_wait_s(self):
+        """Returns within what time a change is published that waits for one of each other endpoint, in two parts."""
+        message_s = self.lines_to_all(2) / self.lines_per_s + self.max_ack_delay_ms / 1000.0 + 1.0
+        return 60.0 + 2.0 * self.endpoints * message_s
+
     def config(self):
         classes = [class_config(), class_config("unsafe", 3.0), class_config("keyed", 2.0)]
         if self.has_zone_tables:
@@ -48,7 +57,7 @@
             drain_grace_ms=self.drain_grace_ms,
             max_update_delay_ms=self.max_ack_delay_ms,
             max_messages=self.max_messages,
-            message_window_ms=10000.0,
+            message_window_ms=MESSAGE_WINDOW_MS,
             admission="rate",
         )
 
@@ -56,8 +65,8 @@
 class Fleet:
     """A planner, its channel, and what happens to the fleet meanwhile."""
 
-    def __init__(self, deployment, seed=1, disturbances=()):
-        self.deployment, self.random, self.disturbances = deployment, Random(seed), set(disturbances)
+    def __init__(self, deployment, seed=1, competing=()):
+        self.deployment, self.random, self.competing = deployment, Random(seed), set(competing)
         entries = [self.entry(number) for number in range(deployment.endpoints)]
         self.harness = PlannerHarness(deployment.config(), entries, proxies=0)
         self.channel = ChannelModel(self.harness, 1.0, deployment.max_ack_delay_ms / 2.5)
@@ -83,33 +92,36 @@
         self.lists.append(("partial", list(entries)))
 
     def step(self):
-        """Plays one step of the channel and the planner, with the disturbances that are due."""
+        """Plays one step of the channel and the planner, with the competing updates that are due."""
         self.steps += 1
-        self._disturb()
+        self._compete()
         lists, self.lists = self.lists, []
         streams, self.streams = self.streams, []
         self.channel.observe(STEP_MS, endpoint_lists=lists, proxy_streams=streams)
 
-    def _disturb(self):
+    def _compete(self):
         every = self.random.random
-        if "weights" in self.disturbances and self.steps % 10 == 0:
+        if "weights" in self.competing and self.steps % 10 == 0:
             for state in self.harness.fleet.endpoints.values():
                 state.q_value = 0.3 + 0.7 * every()
-        if "admission" in self.disturbances and self.steps % 5 == 0:
+        if "admission" in self.competing and self.steps % 5 == 0:
             self.limits.update({index: 20.0 + 80.0 * every() for index in (0, 1)})
-        if "joins" in self.disturbances:
+        if "joins" in self.competing:
             lines = self.deployment.lines_per_message + 10 + 1.5 * self.deployment.endpoints
-            joins_per_step = 0.3 * self.deployment.lines_per_s * STEP_MS / 1000.0 / lines
+            joins_per_step = JOINS_SHARE * self.deployment.lines_per_s * STEP_MS / 1000.0 / lines
+            joins_per_step = min(joins_per_step, self.deployment.proxies * STEP_MS / MIN_STREAM_MS)
             for _ in range(int(joins_per_step + every())):
                 self.streams.append(self.stream(self.random.randrange(self.deployment.proxies - 1)))
-        if "drains" in self.disturbances:
-            span_s = max(0.7, 2.2 * self.deployment.lines_to_all(2) / self.deployment.lines_per_s)
+        if "drains" in self.competing:
+            # A replacement takes three messages to all: an ejection, an added endpoint and, later, a removal.
+            span_s = 4.0 * self.deployment.lines_to_all(2) / self.deployment.lines_per_s
+            span_s = max(MIN_REPLACEMENT_S, span_s + self.deployment.max_ack_delay_ms / 1000.0)
             if self.steps % int(10 * span_s) == 0:
                 self._replace_endpoint()
 
     def _replace_endpoint(self):
         fleet = self.harness.fleet
-        candidates = [id_ for id_, state in fleet.endpoints.items() if state.is_in_service and id_ >= 8]
+        candidates = [id_ for id_, state in fleet.endpoints.items() if state.is_in_service and id_ >= KEPT_ENDPOINTS]
         if candidates:
             self.change(self.entry(self.next_endpoint), self.entry(min(candidates), "terminated"))
             self.next_endpoint += 1
@@ -122,6 +134,20 @@
             self.step()
         return None
 
+    def exceeds_limits(self):
+        """Whether more lines were queued, or more messages written to one proxy, than the channel allows."""
+        deployment, channel = self.deployment, self.channel
+        if channel.max_queued_lines > deployment.max_queued_lines:
+            return True
+        if not deployment.max_messages:
+            return False
+        spans = (
+            last - first
+            for times in channel.message_times.values()
+            for first, last in zip(times, times[deployment.max_messages :], strict=False)
+        )
+        return any(span_ms < MESSAGE_WINDOW_MS for span_ms in spans)
+
     def is_settled(self):
         return self.harness.fleet.all_proxies_have_calendar() and not self.channel.queue and not self.channel.acks
 
@@ -151,13 +177,20 @@
         return lambda: not state.is_ejected
 
     def reweighted(self):
-        state = self.harness.endpoint(3)
-        published = dict(state.published_slots)
-        self.disturbances.discard("weights")
-        for other in self.harness.fleet.endpoints.values():
-            other.q_value = 0.5
-        state.q_value = 1.0
-        return lambda: all(slots > 1.3 * published[table] for table, slots in state.published_slots.items() if slots)
+        self.competing.discard("weights")
+        for state in self.harness.fleet.endpoints.values():
+            state.q_value = 0.5
+        self.harness.endpoint(0).q_value = 1.0
+        return self._has_wanted_slots
+
+    def _has_wanted_slots(self):
+        """Whether the slots of the first endpoint are published in all tables, besides changes too small for it."""
+        published = self.harness.endpoint(0).published_slots
+        for table in self.harness.fleet.tables:
+            wanted = self.harness.planner.calendar.slots(table.zone, self.harness.now_ms).get(0, 0)
+            if abs(wanted - published.get(table.number, 0)) > MIN_RELATIVE_CHANGE * published.get(table.number, 0):
+                return False
+        return True
 
     def limited(self):
         self.limits[2] = 7.0
--- a/tests/planner_harness.py
+++ b/tests/planner_harness.py
@@ -174,7 +174,8 @@
                 lines.update({proxy: cost for proxy in users if proxy not in assigned})
             if call[0] == "assign_table":
                 endpoints = self.table_endpoints.setdefault(call[2], set())
-                lines[call[1]] += 1 + len(call[3]) + sum(1 + self.harness.endpoint(id_).is_ejected for id_ in endpoints)
+                ejected = self.harness.fleet.ejected_endpoints()
+                lines[call[1]] += 1 + len(call[3]) + len(endpoints) + len(ejected & endpoints)
                 self.proxy_tables.setdefault(call[1], {}).update(dict.fromkeys(call[3], call[2]))
         self._count_ejections([call[1] for call in written if call[0] == "set_ejected"], assigned, lines)
         for proxy, cost in lines.items():
