Leave a message for weights where a proxy may get one or two in the window

Callers would see: with max_messages of 1 or 2, proxies on xDS streams get ejections only, never a table.

Cause: the reserve for ejections was two messages, whatever the limit.

Change: the reserve is at most the limit less one.

Evidence: the new test failed for 1 and 2 messages before and passes now.

--- a/quillstep/routing/message_quota.py
+++ b/quillstep/routing/message_quota.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 
-EJECTION_RESERVE = 2  # messages of the limit that only ejections may use
+EJECTION_RESERVE = 2  # messages of the limit that only ejections may use; fewer if the limit is 2 or less
 
 
 class MessageQuota:
@@ -16,12 +16,13 @@
 
     def __init__(self, max_messages: int = 0, window_ms: float = 0.0) -> None:
         self.max_messages, self.window_ms = max_messages, window_ms
+        self.ejection_reserve = min(EJECTION_RESERVE, max_messages - 1) if max_messages else EJECTION_RESERVE
         self.sent: deque[tuple[int, float]] = deque()  # (revision, when its first response was sent)
 
     def remaining(self, revision: int, now_ms: float) -> int:
         """Returns how many messages may be sent now under this revision.
 
-        Any change may be sent if more than `EJECTION_RESERVE` messages remain, otherwise only ejections.
+        Any change may be sent if more than `ejection_reserve` messages remain, otherwise only ejections.
         """
         while self.sent and self.sent[0][1] <= now_ms - self.window_ms:
             self.sent.popleft()
--- a/quillstep/routing/proxy_state.py
+++ b/quillstep/routing/proxy_state.py
@@ -9,7 +9,6 @@
 
 from quillstep.routing.changes import AwaitedAck, Change, Nack, split_keys
 from quillstep.routing.in_flight import InFlightState
-from quillstep.routing.message_quota import EJECTION_RESERVE
 from quillstep.routing.resources import (
     ADMISSION,
     CLUSTER,
@@ -81,14 +80,15 @@
         """
         self._retry_nacked(now_ms)
         remaining = self.message_quota.remaining(self.released_revision, now_ms)
-        if remaining <= EJECTION_RESERVE:
+        ejections_only = remaining <= self.message_quota.ejection_reserve
+        if ejections_only:
             self.quota_retry_ms = self.message_quota.next_expiry_ms()
         if not remaining:
             return []
         # Other changes wait until all parts have been sent, but not if the remaining parts no longer differ.
         if (part := self.next_split_update(now_ms, subscribed, desired)) or self.split_updates:
             return part
-        changes = self._pending_changes(subscribed, desired, remaining <= EJECTION_RESERVE)
+        changes = self._pending_changes(subscribed, desired, ejections_only)
         if not atomic:
             changes = [change for change in changes if not self.must_wait(change, subscribed)]
         changes.sort(key=lambda change: send_rank(change.key, change.resource is None))
--- a/tests/routing/test_message_quota.py
+++ b/tests/routing/test_message_quota.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from memory_fleet import MemoryController, apply_update, controller_settings, fleet
@@ -49,3 +50,13 @@
     assert any("withdrawn/4" in name for name in proxy.held(LEDS))
     controller.run(4200.0)
     assert tables.proxies[0].acknowledged[WEIGHT, 0, 3] == tables.shared_resource((WEIGHT, 0, 3)).version
+
+
+@pytest.mark.parametrize("max_messages", [1, 2, 3])
+def test_a_proxy_gets_weights_however_few_messages_it_may_be_sent(max_messages):
+    # Guards against a reserve for ejections that is as large as the limit, and leaves nothing for other changes.
+    channel = ChannelSettings(max_messages=max_messages, message_window_ms=1000.0)
+    controller = MemoryController(settings=controller_settings(fleet=fleet(channel=channel)))
+    proxy = controller.join("p0")
+    controller.run(15000)
+    assert any("/table-0/" in name for name in proxy.held(LEDS))
