Let the rollout gate pass an added endpoint that alone moves too much

Callers would see: a table of one endpoint is never given a second one by the xDS front; once the first is gone, requests are refused.

Cause: the gate withholds what moves over max_moved_share (0.6) of a table's traffic, and an endpoint added to one other moves as much as there is.

Change: an endpoint that is added with no more than the table's mean weight takes effect by itself, if nothing moved within the window.

--- a/quillstep/routing/rollout_gate.py
+++ b/quillstep/routing/rollout_gate.py
@@ -104,7 +104,9 @@
                 withheld.append(change)
                 continue
             share = abs(weight - before) / total if total else 0.0
-            if not is_urgent and moved + share > remaining:
+            # In a small table, an endpoint that is added exceeds the limit alone; it takes effect by itself.
+            is_addition = not before and weight <= mean and not moved and remaining == self.max_moved_share
+            if not is_urgent and moved + share > remaining and not is_addition:
                 withheld.append(self._moved_too_much(table, endpoint, share, max(0.0, remaining - moved)))
                 continue
             moved += 0.0 if is_urgent else share
--- a/tests/routing/test_rollout_gate.py
+++ b/tests/routing/test_rollout_gate.py
@@ -55,6 +55,14 @@
     assert gate.filter_weights(0, TEN_WEIGHTS, {2: 45.0}, endpoints, 1001.0)[0] == {2: 45.0}
 
 
+def test_an_endpoint_is_added_to_a_table_so_small_that_it_moves_more_than_the_limit():
+    # Guards against a table of one endpoint that is never given a second one, and has none once the first is gone.
+    gate, endpoints = RolloutGate(0.6, 2000.0, [1]), endpoint_states(range(1, 4))
+    assert gate.filter_weights(0, {1: 10.0}, {2: 30.0}, endpoints, 0.0)[0] == {}, "more than its share"
+    assert gate.filter_weights(0, {1: 10.0}, {2: 10.0}, endpoints, 0.0)[0] == {2: 10.0}
+    assert gate.filter_weights(0, {1: 10.0, 2: 10.0}, {3: 10.0}, endpoints, 100.0)[0] == {}, "within the window"
+
+
 @pytest.mark.parametrize(
     ("limit", "retry_policy", "allowed"),
     [
