Let rollbacks take effect where message heads take half of the channel

Callers would see: a rollback, a release or a withheld change never takes effect at a controller of some 300 proxies or more.

Cause: a catch-up update had half of the queue's limit, less the heads of messages to all proxies; from some fleet size on, nothing is left, even while the channel is empty.

Change: in an empty channel the least change may be sent. So that the queue stays within its limit, the planner counts catch-up updates, with acks; it did not know of them before.

Evidence: the new test failed before and passes now, with the queue within its limit.

--- a/quillstep/controller/core.py
+++ b/quillstep/controller/core.py
@@ -243,14 +243,29 @@
         channel = self.settings.fleet.channel
         message_gap_ms = channel.message_window_ms / channel.max_messages if channel.max_messages else 0.0
         self._next_catch_up_ms = now_ms + max(MIN_CATCH_UP_INTERVAL_MS, message_gap_ms)
-        available_lines = CATCH_UP_SHARE * channel.max_queued_lines - self.channel.queued_lines
         self.update_endpoint_states(now_ms)
         self.tables.begin()
         self._revision_times_ms[self.tables.revision] = now_ms
-        self.versioned_tables.catch_up(available_lines - channel.lines_per_message * len(self.proxies.zones))
+        self.versioned_tables.catch_up(self._catch_up_lines())
+        messages = len(self.tables.update_lines)
+        if messages and isinstance(self.planner, Planner):
+            self.planner.record_own_update(sum(self.tables.update_lines.values()), messages, CoreOutput(self))
         self.channel.put(self.tables.commit(), now_ms)
         self.operations.log_withheld(now_ms)
 
+    def _catch_up_lines(self) -> float:
+        """Returns how many lines of changes a catch-up update may have, over all proxies.
+
+        The least change takes effect in an empty channel, however much of its limit the heads of messages take.
+        """
+        channel, proxies = self.settings.fleet.channel, len(self.proxies.zones)
+        head_lines = channel.lines_per_message * proxies
+        available_lines = CATCH_UP_SHARE * channel.max_queued_lines - self.channel.queued_lines - head_lines
+        if self.channel.queue or available_lines >= proxies:
+            return available_lines
+        can_plan = not isinstance(self.planner, Planner) or self.planner.has_capacity_for(1)
+        return float(proxies) if can_plan else 0.0
+
     def update_endpoint_states(self, now_ms: float) -> None:
         """Passes the endpoints' current states to the tables and the rollout gate."""
         self.endpoints.update_states(self.tables, self.versioned_tables, now_ms)
--- a/quillstep/planner/planner.py
+++ b/quillstep/planner/planner.py
@@ -82,6 +82,23 @@
             self._next_interval_ms = self._schedule_next(now_ms, output)
         self.publisher.publish(now_ms, is_interval_due, output)
 
+    def has_capacity_for(self, changes: int) -> bool:
+        """Whether an update of the caller's own, with so many changes to each proxy, fits the channel."""
+        proxies = len(self.fleet.proxies)
+        return self.budget.fits_limit(proxies * (self.budget.lines_per_message + 1 + changes))
+
+    def record_own_update(self, lines: float, messages: int, output: PlannerOutput) -> None:
+        """Counts an update that the caller has written by itself, and requests its acks.
+
+        Args:
+            lines: Lines of all its messages, without heads and ack requests.
+            messages: Number of its messages.
+            output: Receives the request.
+        """
+        written_before = self.budget.written_lines
+        self.budget.written_lines += lines + messages * self.budget.lines_per_message
+        self.budget.request_ack(written_before, messages, output)
+
     def _start(self, now_ms: float, output: PlannerOutput) -> float:
         """Starts the first interval at a random phase, so that controllers started together do not act in lockstep."""
         first_interval_ms = now_ms + CONTROL_INTERVAL_MS * self._random.random()
--- a/tests/routing/test_versioned_tables.py
+++ b/tests/routing/test_versioned_tables.py
@@ -4,9 +4,11 @@
 from hypothesis import settings as hypothesis_settings  # noqa: E402
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from memory_fleet import fleet
 from versioned_fleet import current_versions, holds, settled, write_weights
 
 from quillstep.config.controller import RolloutGateSettings
+from quillstep.config.fleet import ChannelSettings
 from quillstep.routing.resources import EJECTED
 from quillstep.routing.rollout_gate import (
     MOVED_SHARE,
@@ -35,6 +37,20 @@
     )
 
 
+def test_a_pinned_table_rolls_back_where_message_heads_take_half_of_the_channel():
+    # Guards against rollbacks and releases that never take effect, because no change fits beside the heads.
+    channel = ChannelSettings(lines_per_s=40.0, max_queued_lines=20.0)
+    controller = settled(proxies=2, fleet=fleet(channel=channel))
+    controller.run(8000)
+    before = current_versions(controller)[-1]
+    write_weights(controller, {3: 14.0})
+    controller.run(1000)
+    controller.core.versioned_tables.pin(before._replace(cause="rollback"))
+    controller.run(4000)
+    assert all(holds(controller, proxy, before.weights) for proxy in controller.proxies.values())
+    assert controller.core.channel.max_queued_lines <= channel.max_queued_lines
+
+
 def test_an_endpoint_that_leaves_while_its_table_is_pinned_is_ejected_at_once_and_left_out_of_the_target():
     controller = settled()
     controller.core.versioned_tables.pin(current_versions(controller)[-1])
