Count no lines of changes that a pinned table does not send

Callers would see: a rollback on the xDS front never takes effect while the planner goes on moving the weights of the table (15 proxies, 74 lines a second, 171 may wait: not within 600 s).

Cause: a pinned table sends no weights, but the planner counted their lines as queued, and awaited acks of messages that were never sent. They counted until 10 s had passed without an ack, and the next ones came meanwhile, so that the rollback's own update never fitted.

Change: the core tells the planner how many messages an update became; it awaits no more acks than that, and counts no lines if there are none.

--- a/quillstep/controller/core.py
+++ b/quillstep/controller/core.py
@@ -240,7 +240,10 @@
             self.recorded_output = []
             self.control_intervals.run(observations, RecordingOutput(self, self.recorded_output))
         self.versioned_tables.flush()
-        self.channel.put(self.tables.commit(), now_ms)
+        updates = self.tables.commit()
+        if self.tables.ack_serial is not None and isinstance(self.planner, Planner):
+            self.planner.record_messages(len(updates))
+        self.channel.put(updates, now_ms)
         self.operations.log_withheld(now_ms)
 
     def _catch_up(self, now_ms: float) -> None:
--- a/quillstep/planner/planner.py
+++ b/quillstep/planner/planner.py
@@ -101,6 +101,10 @@
             return budget.unproven_lines <= 0.0
         return budget.fits_limit(lines)
 
+    def record_messages(self, messages: int) -> None:
+        """Records how many messages the update of the last call became; fewer if the caller withheld changes."""
+        self.budget.limit_awaited_acks(messages)
+
     def record_own_update(self, lines: float, messages: int, output: PlannerOutput) -> None:
         """Counts an update that the caller has written by itself, and requests its acks.
 
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -193,6 +193,16 @@
         queued_lines = self.unproven_lines + change.written_lines + change.least_lines
         return queued_lines + change.least_lines + self.update_delay_lines <= self.drain_grace_lines
 
+    def limit_awaited_acks(self, messages: int) -> None:
+        """Awaits acks of the last update from no more proxies than it became messages; counts no lines without any."""
+        update = self.in_flight.get(self._serial)
+        if update is None:
+            return
+        update.messages = min(update.messages, messages)
+        if not messages and self.written_lines == update.end_lines:
+            del self.in_flight[self._serial]
+            self.written_lines = update.start_lines
+
     def request_ack(self, sent_lines: float, messages: int, output: PlannerOutput) -> None:
         """Requests acks of this interval's messages.
 
--- a/tests/controller/test_update_progress.py
+++ b/tests/controller/test_update_progress.py
@@ -174,3 +174,9 @@
     # Guards against updates that limits of the planner, the channel, the gate or the quotas keep back for good.
     random = Random(seed)
     check_progress(drawn_deployment(random), seed, KINDS[seed % len(KINDS)], random.choice(["", "joins", "weights"]))
+
+
+def test_a_rollback_takes_effect_beside_steady_changes_of_the_pinned_table():
+    # Guards against changes that a pinned table never sends but whose lines count as queued, so that no rollback fits.
+    deployment = Deployment(15, 16, 74.0, 171.0, lines_per_message=6.0, drain_grace_ms=5000.0, max_messages=0)
+    check_progress(deployment, 39, "rolled_back", "weights")
