Remove endpoints of oversized fleets beside steady drains; test the platform's updates

Callers would see: in a fleet that no order reaches at one time, no delisted endpoint is removed while others drain all the time.

Cause: a removal waited until no proxy's subset lists any delisted endpoint; with steady drains, some subset always lists one.

Change: a removal waits only for subsets that list its own endpoint. In such fleets, an endpoint that no calendar lists reaches no calendar user.

--- a/quillstep/planner/audience.py
+++ b/quillstep/planner/audience.py
@@ -58,13 +58,30 @@
         """Proxies with the calendar or with tables of other controllers."""
         return self.joined - self.with_subsets
 
-    def ejection_recipients(self, change: EndpointChange) -> int:
-        """Returns how many proxies get an ejection or restoration; a subset without the endpoint needs no ejection."""
+    @property
+    def unassigned(self) -> int:
+        """Proxies with neither the calendar nor a subset; they use tables of other controllers."""
+        return self.outside_subsets - self.with_calendar
+
+    def reaches_calendar_users(self, change: EndpointChange, state: EndpointState) -> bool:
+        """Whether the proxies with the calendar count as recipients of an ejection or restoration.
+
+        In an oversized fleet, they do not if no calendar lists the endpoint.  Weights are written before a restoration,
+        so an endpoint that is added by the same change is listed.
+        """
+        is_listed = any(state.published_slots.values()) or any(change.slots.values())
+        return is_listed or self.ejections_reach_all or not self.is_oversized
+
+    def ejection_recipients(self, change: EndpointChange, state: EndpointState) -> int:
+        """Returns how many proxies get an ejection or restoration; a table without the endpoint needs none."""
         if self.is_oversized and self.ejections_reach_all:
             return self.joined
-        if not change.is_ejected:
-            return self.outside_subsets if self.is_oversized else self.joined  # no subset lists an ejected endpoint
-        return self.outside_subsets + self.subset_users[change.endpoint]
+        recipients = self.unassigned
+        if self.reaches_calendar_users(change, state):
+            recipients += self.with_calendar
+            if not change.is_ejected and not self.is_oversized:
+                return self.joined
+        return recipients + (self.subset_users[change.endpoint] if change.is_ejected else 0)
 
     def exceeds_limit(self, change: EndpointChange, state: EndpointState) -> bool:
         """Whether a change exceeds even an empty channel, because it is sent to all proxies of an oversized fleet."""
@@ -74,7 +91,7 @@
         """Returns the lines that a change takes, over all proxies."""
         lines = sum(self.table_users[table] for table in change.slots)
         if change.is_ejected != state.is_ejected:
-            lines += self.ejection_recipients(change)
+            lines += self.ejection_recipients(change, state)
         return lines
 
 
@@ -85,16 +102,20 @@
     audience: Audience
     lines: int = 0
     tables: set[int] = field(default_factory=set)  # calendar tables whose users get a message
-    has_ejections: bool = False
+    reaches_calendar_users: bool = False  # with an ejection or restoration
+    reaches_unassigned: bool = False
     subset_messages: int = 0
 
     @property
     def messages(self) -> int:
         """Proxies that get a message."""
         audience = self.audience
-        if self.has_ejections:
-            return min(audience.joined, audience.outside_subsets + self.subset_messages)
-        return audience.calendar_users(self.tables)
+        messages = audience.calendar_users(self.tables)
+        if self.reaches_calendar_users:
+            messages = audience.with_calendar
+        if self.reaches_unassigned:
+            messages += audience.unassigned
+        return messages + min(self.subset_messages, audience.with_subsets)
 
     def add_admission(self, table: int, lines: int) -> None:
         """Adds the admission limits of a table."""
@@ -108,5 +129,8 @@
         self.lines += audience.line_cost(change, state)
         self.tables |= change.slots.keys()
         if change.is_ejected != state.is_ejected:
-            self.has_ejections = True
-            self.subset_messages += max(0, audience.ejection_recipients(change) - audience.outside_subsets)
+            self.reaches_unassigned = True
+            reaches_calendar_users = audience.reaches_calendar_users(change, state)
+            self.reaches_calendar_users |= reaches_calendar_users
+            outside_subsets = audience.unassigned + (audience.with_calendar if reaches_calendar_users else 0)
+            self.subset_messages += audience.ejection_recipients(change, state) - outside_subsets
--- a/quillstep/planner/endpoint_changes.py
+++ b/quillstep/planner/endpoint_changes.py
@@ -59,12 +59,11 @@
             is_oversized: Whether changes are published while most proxies use subsets (see `OversizedFleet`).
         """
         wanted = {table.number: self.calendar.slots(table.zone, now_ms) for table in self.fleet.tables}
-        can_remove = self.fleet.all_proxies_have_calendar() or (
-            is_oversized and self._all_use_tables_without_delisted()
-        )
+        retained = self._endpoints_in_subsets() if is_oversized else None
+        can_remove = self.fleet.all_proxies_have_calendar() or retained is not None
         for id_, state in self.fleet.endpoints.items():
             slots = {table: calendar.get(id_, 0) for table, calendar in wanted.items()}
-            if can_remove and self._is_removable(state, now_ms):
+            if can_remove and id_ not in (retained or ()) and self._is_removable(state, now_ms):
                 yield EndpointChange(0.0, id_, dict.fromkeys(state.published_slots, 0), False, True)
             elif any(slots.values()):
                 change = self._slot_change(id_, state, slots, now_ms)
@@ -98,13 +97,14 @@
         """Whether an endpoint is not in service, or is still warming up."""
         return not state.is_in_service or warm_up_fraction(self.fleet.config, state, now_ms) < 1.0
 
-    def _all_use_tables_without_delisted(self) -> bool:
-        """Whether each proxy uses the calendar, or a subset that lists no delisted endpoint."""
-        delisted = {id_ for id_, state in self.fleet.endpoints.items() if state.delisted_ms is not None}
-        return all(
-            proxy.has_calendar or (proxy.subsets and all(delisted.isdisjoint(subset) for subset in proxy.subsets))
-            for proxy in self.fleet.proxies.values()
-        )
+    def _endpoints_in_subsets(self) -> set[EndpointId] | None:
+        """Returns the endpoints that any proxy's subset lists; None while a proxy uses another controller's tables."""
+        listed: set[EndpointId] = set()
+        for proxy in self.fleet.proxies.values():
+            if not proxy.has_calendar and not proxy.subsets:
+                return None
+            listed.update(*proxy.subsets)
+        return listed
 
     def removable(self, now_ms: float) -> list[EndpointId]:
         """Returns the delisted endpoints that are removed from the tables once all proxies have the calendar."""
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -78,7 +78,7 @@
         lines = self.audience.line_cost(change, state)
         if self.audience.is_oversized and change.is_ejected != state.is_ejected:
             # Heads and ack requests of the messages to proxies for which none are reserved.
-            further = self.audience.ejection_recipients(change) - self.audience.reachable
+            further = self.audience.ejection_recipients(change, state) - self.audience.reachable
             written_lines += max(0, further) * (self.budget.lines_per_message + 1)
         if not self.budget.fits_limit(self.fixed_lines + written_lines + lines):
             return False
--- a/tests/fleet_updates.py
+++ b/tests/fleet_updates.py
@@ -65,11 +65,11 @@
 class Fleet:
     """A planner, its channel, and what happens to the fleet meanwhile."""
 
-    def __init__(self, deployment, seed=1, competing=()):
+    def __init__(self, deployment, seed=1, competing=(), channel_type=ChannelModel):
         self.deployment, self.random, self.competing = deployment, Random(seed), set(competing)
         entries = [self.entry(number) for number in range(deployment.endpoints)]
         self.harness = PlannerHarness(deployment.config(), entries, proxies=0)
-        self.channel = ChannelModel(self.harness, 1.0, deployment.max_ack_delay_ms / 2.5)
+        self.channel = channel_type(self.harness, 1.0, deployment.max_ack_delay_ms / 2.5)
         self.next_endpoint, self.steps = deployment.endpoints, 0
         self.replaced, self.lists, self.streams = [], [], []
         self.limits = dict.fromkeys(range(3), 50.0)
@@ -214,9 +214,9 @@
 KINDS = ("added", "ejected", "restored", "reweighted", "limited", "assigned", "removed")
 
 
-def settled_fleet(deployment, seed=1):
+def settled_fleet(deployment, seed=1, channel_type=ChannelModel):
     """Returns a fleet whose proxies have the calendar, and whose channel is empty."""
-    fleet = Fleet(deployment, seed)
+    fleet = Fleet(deployment, seed, channel_type=channel_type)
     waited_s = fleet.wait_until(lambda: fleet.steps > SETTLE_STEPS and fleet.is_settled(), SETTLE_LIMIT_S)
     assert waited_s is not None, "the proxies never got the calendar"
     return fleet
