Split the publisher's limits and its admission updates into modules

Change: change_limits.py and admission_updates.py hold the first two; their local list `oversized` is `too_long`, as an oversized fleet is something else now. No decision changes.

--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -5,29 +5,23 @@
 MIN_RELATIVE_CHANGE.
 """
 
-from enum import Enum, auto
 from typing import NamedTuple
 
+from quillstep.planner.admission_updates import AdmissionUpdates
 from quillstep.planner.assignment import TableAssigner
 from quillstep.planner.audience import Audience, WrittenUpdates
 from quillstep.planner.calendar import Calendar
-from quillstep.planner.endpoint_changes import MIN_RELATIVE_CHANGE, EndpointChange, EndpointChanges
+from quillstep.planner.change_limits import ChangeLimits, Precedence
+from quillstep.planner.endpoint_changes import EndpointChange, EndpointChanges
 from quillstep.planner.messages import EndpointId, PlannerOutput
 from quillstep.planner.overdue_updates import MAX_WAIT_MS, OverdueUpdates, UpdateKind
 from quillstep.planner.oversized_fleet import OversizedFleet
-from quillstep.planner.state import (
-    CONTROL_INTERVAL_MS,
-    CalendarTable,
-    EndpointState,
-    FleetState,
-    PublishedAdmission,
-)
-from quillstep.planner.update_budget import OrdinaryUpdate, UpdateBudget
+from quillstep.planner.state import CONTROL_INTERVAL_MS, FleetState
+from quillstep.planner.update_budget import UpdateBudget
 
 URGENT_TIMER = 2  # token of the timer for changes that could not be published at once
 URGENT_RETRY_MS = 0.2 * CONTROL_INTERVAL_MS
 MAX_OVERTAKEN_MS = 3 * MAX_WAIT_MS  # changes that have waited for longer are not overtaken by larger ones
-NOT_PUBLISHED = PublishedAdmission(0.0, -1)
 
 
 class SubsetAssignments(NamedTuple):
@@ -37,66 +31,6 @@
     pending: int
 
 
-class Precedence(Enum):
-    """Which limit a change that is not urgent is held to."""
-
-    NONE = auto()  # the usual one
-    OVERDUE = auto()  # a drain behind it must be in time
-    FIRST_OF_KIND = auto()  # the channel's limit
-
-
-class ChangeLimits:
-    """Which changes of endpoints fit the channel in one pass."""
-
-    def __init__(self, budget: UpdateBudget, audience: Audience, max_urgent_lines: float) -> None:
-        self.budget, self.audience, self.max_urgent_lines = budget, audience, max_urgent_lines
-        self.head_lines = budget.lines_per_message * audience.reachable
-        self.fixed_lines = self.head_lines + audience.reachable  # heads and ack requests
-
-    def parts_to_publish(
-        self, change: EndpointChange, state: EndpointState, written_lines: int, precedence: Precedence
-    ) -> list[EndpointChange]:
-        """Returns the change itself, or its parts if the whole exceeds even an empty channel, or is overdue."""
-        lines = self.fixed_lines + self.audience.line_cost(change, state)
-        if precedence is Precedence.FIRST_OF_KIND:
-            fits = self.budget.fits_limit(lines + written_lines)
-        else:
-            fits = self.budget.fits_empty_channel(lines)
-        return [change] if fits else change.parts(state)
-
-    def fits(self, change: EndpointChange, state: EndpointState, written_lines: float, precedence: Precedence) -> bool:
-        """Whether a change may be queued behind the lines already written in this pass.
-
-        Args:
-            change: The change.
-            state: The endpoint's state before the change.
-            written_lines: Lines of the changes before it.
-            precedence: Which limit the change is held to, unless it is urgent.
-        """
-        if self.audience.exceeds_limit(change, state):
-            return self._fits_alone(written_lines)
-        lines = self.audience.line_cost(change, state)
-        if self.audience.is_oversized and change.is_ejected != state.is_ejected:
-            # Heads and ack requests of the messages to proxies for which none are reserved.
-            further = self.audience.ejection_recipients(change, state) - self.audience.reachable
-            written_lines += max(0, further) * (self.budget.lines_per_message + 1)
-        if not self.budget.fits_limit(self.fixed_lines + written_lines + lines):
-            return False
-        if change.kind is UpdateKind.URGENT:
-            return self.budget.queued_lines + self.head_lines + written_lines + lines <= self.max_urgent_lines
-        if precedence is Precedence.FIRST_OF_KIND:
-            return True
-        update = OrdinaryUpdate(lines, self.head_lines, written_lines)
-        if precedence is Precedence.OVERDUE and self.budget.fits_before_drain(update):
-            return True
-        proxies_pending = self.audience.with_calendar != self.audience.joined
-        return self.budget.fits_ordinary(update, self.max_urgent_lines, proxies_pending)
-
-    def _fits_alone(self, written_lines: float) -> bool:
-        """Whether a message to all proxies of an oversized fleet may be sent: one at a time, in an empty channel."""
-        return self.budget.unproven_lines <= 0.0 and written_lines < self.audience.joined
-
-
 class Publisher:
     """Publishes changes and assigns tables within the update budget."""
 
@@ -105,8 +39,8 @@
         self.changes = EndpointChanges(fleet, calendar)
         self.oversized = OversizedFleet(fleet, budget, assigner)
         self.overdue = OverdueUpdates()
+        self.admission_updates = AdmissionUpdates(fleet, budget, self.overdue)
         self._waiting_since_ms: dict[EndpointId, float] = {}  # changes that were due and did not fit
-        self._limits_waiting_since_ms: dict[tuple[int, int], float] = {}  # by table and class
         self._retry_ms = self._published_ms = float("-inf")
 
     def publish(self, now_ms: float, is_interval_due: bool, output: PlannerOutput) -> None:
@@ -209,7 +143,8 @@
         due = sorted(
             self.changes.due(now_ms, audience.is_oversized), key=lambda change: self._publishing_order(change, now_ms)
         )
-        self._publish_admissions(now_ms, written, self._urgent_lines(due, audience), output)
+        urgent_lines = self._urgent_lines(due, audience)
+        self.admission_updates.publish(now_ms, written, self._fixed_lines(), urgent_lines, output)
         limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending))
         published: set[UpdateKind] = set()
         waiting: dict[EndpointId, UpdateKind] = {}
@@ -272,7 +207,7 @@
 
     def _update_oversized(self, now_ms: float, waiting: list[EndpointChange]) -> None:
         """Moves proxies to subsets, or stops doing so, if the fleet is oversized."""
-        since_ms = [*self._waiting_since_ms.values(), *self._limits_waiting_since_ms.values()]
+        since_ms = [*self._waiting_since_ms.values(), *self.admission_updates.waiting_since_ms.values()]
         has_waited = now_ms - min(since_ms, default=now_ms) >= MAX_OVERTAKEN_MS
         self.oversized.update(waiting if self.oversized.is_oversized() else [], has_waited)
 
@@ -280,8 +215,7 @@
         """Records what is due in a control interval in which nothing can be sent to all proxies."""
         due = list(self.changes.due(now_ms, self.oversized.is_oversized()))
         self._record_changes(now_ms, set(), {change.endpoint: change.kind for change in due})
-        limits = {(table.number, index) for table in self.fleet.tables for index in self._changed_classes(table)}
-        self._record_limits(now_ms, is_published=False, waiting=limits)
+        self.admission_updates.record_waiting(now_ms)
         self._update_oversized(now_ms, due)
 
     def _write_change(self, change: EndpointChange, output: PlannerOutput) -> None:
@@ -294,61 +228,3 @@
             state.is_ejected = change.is_ejected
         if state.delisted_ms is not None and not change.is_ejected:
             del self.fleet.endpoints[change.endpoint]
-
-    def _publish_admissions(
-        self, now_ms: float, written: WrittenUpdates, urgent_lines: int, output: PlannerOutput
-    ) -> None:
-        """Writes the changed limits and retry policies that fit the channel.
-
-        The classes of a table are published together; one by one, beside an urgent change, if together they never fit.
-        """
-        fixed_lines = self._fixed_lines()
-        oversized: list[tuple[CalendarTable, int]] = []
-        waiting: set[tuple[int, int]] = set()
-        for table in self.fleet.tables:
-            users = written.audience.table_users[table.number]
-            table_lines = users * len(table.classes)
-            changed = [(table, index) for index in self._changed_classes(table)]
-            if not self.budget.fits_empty_channel(fixed_lines + table_lines):
-                oversized += changed
-                continue
-            is_allowed = self.overdue.allows(UpdateKind.ADMISSION)
-            if not users or (is_allowed and self.budget.fits_limit(fixed_lines + written.lines + table_lines)):
-                self._publish_admission(changed, written, output)
-            else:
-                waiting |= {(table.number, index) for _, index in changed}
-        since_ms = self._limits_waiting_since_ms
-        for table, index in sorted(oversized, key=lambda row: since_ms.get((row[0].number, row[1]), now_ms)):
-            lines = written.lines + written.audience.table_users[table.number] + urgent_lines
-            if self.overdue.allows(UpdateKind.ADMISSION) and self.budget.fits_limit(fixed_lines + lines):
-                self._publish_admission([(table, index)], written, output)
-            else:
-                waiting.add((table.number, index))
-        self._record_limits(now_ms, written.lines > 0, waiting)
-
-    def _record_limits(self, now_ms: float, is_published: bool, waiting: set[tuple[int, int]]) -> None:
-        """Records whether admission limits were published, and for which tables and classes they are still due."""
-        since_ms = self._limits_waiting_since_ms
-        self._limits_waiting_since_ms = {key: since_ms.get(key, now_ms) for key in waiting}
-        self.overdue.record(UpdateKind.ADMISSION, now_ms, is_published, bool(waiting))
-
-    def _changed_classes(self, table: CalendarTable) -> list[int]:
-        """Returns the classes of a table whose limit or retry policy is to be published."""
-        changed = []
-        for index in table.classes:
-            state = self.fleet.classes[index]
-            limit, retry_policy = state.published.get(table.number, NOT_PUBLISHED)
-            has_limit_moved = abs(state.admission_limit - limit) > MIN_RELATIVE_CHANGE * limit
-            if state.retry_policy != retry_policy or has_limit_moved:
-                changed.append(index)
-        return changed
-
-    def _publish_admission(
-        self, changed: list[tuple[CalendarTable, int]], written: WrittenUpdates, output: PlannerOutput
-    ) -> None:
-        """Writes the limits and retry policies of classes in tables."""
-        for table, index in changed:
-            state = self.fleet.classes[index]
-            output.set_admission(table.number, [index], state.admission_limit, state.retry_policy)
-            state.published[table.number] = PublishedAdmission(state.admission_limit, state.retry_policy)
-            written.add_admission(table.number, written.audience.table_users[table.number])
