--- a/quillstep/planner/audience.py
+++ b/quillstep/planner/audience.py
@@ -74,14 +74,12 @@
 
     def ejection_recipients(self, change: EndpointChange, state: EndpointState) -> int:
         """Returns how many proxies get an ejection or restoration; a table without the endpoint needs none."""
-        if self.is_oversized and self.ejections_reach_all:
+        counts_all = self.ejections_reach_all if self.is_oversized else not change.is_ejected
+        if counts_all:
             return self.joined
-        recipients = self.unassigned
-        if self.reaches_calendar_users(change, state):
-            recipients += self.with_calendar
-            if not change.is_ejected and not self.is_oversized:
-                return self.joined
-        return recipients + (self.subset_users[change.endpoint] if change.is_ejected else 0)
+        calendar_users = self.with_calendar if self.reaches_calendar_users(change, state) else 0
+        subset_users = self.subset_users[change.endpoint] if change.is_ejected else 0
+        return self.unassigned + calendar_users + subset_users
 
     def exceeds_limit(self, change: EndpointChange, state: EndpointState) -> bool:
         """Whether a change exceeds even an empty channel, because it is sent to all proxies of an oversized fleet."""
