Remove stale weights from a proxy that is assigned a table a second time

Callers would see: a proxy on an xDS stream that was moved to a subset and back goes on sending requests to an endpoint that was removed meanwhile.

Cause: an assignment marked the present weights of its table only. A weight that was removed while the proxy used another table stayed with it, though the controller knew that the proxy held it.

Change: an assignment of a table that the proxy did not use marks the weights that the proxy retains of it.

The new test in tests/routing/test_tables.py failed before and passes now.

--- a/quillstep/routing/tables.py
+++ b/quillstep/routing/tables.py
@@ -184,9 +184,17 @@
         for endpoint in record.weights:
             self._mark_pending(proxy, (WEIGHT, table, endpoint), 0.0)
         self._mark_pending(proxy, ROUTES_KEY, 0.0)
+        if table not in before:
+            self._mark_retained_weights(proxy, state, table)
         if is_first:
             self._mark_first_assignment(proxy, state)
 
+    def _mark_retained_weights(self, proxy: int, state: ProxyState, table: int) -> None:
+        """Marks the weights that a proxy retains from an earlier assignment of a table; some may have been removed."""
+        for key in [*state.acknowledged, *state.in_flight]:
+            if key[0] == WEIGHT and key[1] == table:
+                self._mark_pending(proxy, key, 0.0)
+
     def _mark_first_assignment(self, proxy: int, state: ProxyState) -> None:
         """Marks the keys that a proxy is sent with its first table, and all that it has retained until now."""
         self._mark_pending(proxy, LISTENER_KEY, 0.0)
--- a/tests/routing/test_tables.py
+++ b/tests/routing/test_tables.py
@@ -32,6 +32,21 @@
     assert proxy.log == [(LEDS, [WEIGHT_3], [])]
 
 
+def test_a_weight_that_was_removed_meanwhile_is_removed_when_a_proxy_is_assigned_its_table_again():
+    # Guards against requests to an endpoint that is gone, after a proxy used a subset while the endpoint was removed.
+    controller = settled()
+    proxy = controller.proxies["p0"]
+    apply_update(controller, lambda tables: tables.set_weight(5, 1, 10.0))
+    apply_update(controller, lambda tables: tables.assign_table(0, 5, range(2)))
+    controller.run(500)
+    apply_update(controller, lambda tables: tables.set_weight(0, 3, 0.0))
+    controller.run(500)
+    assert WEIGHT_3 in proxy.held(LEDS)  # of the table that it no longer uses
+    apply_update(controller, lambda tables: tables.assign_table(0, 0, range(2)))
+    controller.run(1000)
+    assert WEIGHT_3 not in proxy.held(LEDS)
+
+
 def test_a_rejected_weight_is_not_sent_again_until_its_next_version():
     controller = settled()
     proxy, state = controller.proxies["p0"], controller.core.tables.proxies[0]
