Log why admission limits change, why warming endpoints wait, and which tables proxies use

Both controllers write these now; the planner keeps the reason instead of a truth value. Decisions are unchanged.

--- a/quillstep/controller/core.py
+++ b/quillstep/controller/core.py
@@ -13,6 +13,7 @@
 from quillstep.config.planner_config import planner_config
 from quillstep.controller.baselines import EvenPlanner, ListedWeightPlanner
 from quillstep.controller.control_intervals import ControlIntervals
+from quillstep.controller.decision_log import DecisionLog
 from quillstep.controller.endpoint_directory import EndpointDirectory
 from quillstep.controller.events import EndpointListReceived
 from quillstep.controller.output import CoreOutput, RecordingOutput
@@ -68,6 +69,7 @@
         self.log = structlog.get_logger("controller")
         self.planner = PLANNERS[settings.planner_kind](planner_config(settings.fleet), settings.seed)
         self.control_intervals: ControlIntervals[Any] = ControlIntervals(self.planner, settings.batch_window_ms)
+        self.decision_log = DecisionLog(self.planner) if isinstance(self.planner, Planner) else None
         self._set_up_tables()
         self.channel = UpdateChannel(settings.fleet.channel.lines_per_s)
         self.release = UpdateRelease(bool(settings.store.folder), settings.store.max_durability_wait_ms)
@@ -239,6 +241,8 @@
         else:
             self.recorded_output = []
             self.control_intervals.run(observations, RecordingOutput(self, self.recorded_output))
+        if self.decision_log:
+            self.decision_log.record()
         self.versioned_tables.flush()
         updates = self.tables.commit()
         if self.tables.ack_serial is not None and isinstance(self.planner, Planner):
--- /dev/null
+++ b/quillstep/controller/decision_log.py
@@ -0,0 +1,89 @@
+"""Logs the planner's decisions on admission and on warming endpoints, with the beliefs behind them."""
+
+from typing import Any, NamedTuple
+
+import structlog
+
+from quillstep.planner.calendar import HoldBackReason
+from quillstep.planner.planner import Planner
+from quillstep.planner.state import PublishedAdmission
+
+PublishedLimits = dict[tuple[int, int], PublishedAdmission]  # by table and class
+
+
+class AssignedProxies(NamedTuple):
+    """How many joined proxies use the calendar, only a subset of it, or tables of another controller."""
+
+    with_calendar: int
+    with_subset: int
+    with_other_tables: int
+
+
+class DecisionLog:
+    """Writes one line for each change of a decision; used by the deciding thread only.
+
+    A line on admission limits is written for each change that is published, at most one in a control interval.
+    """
+
+    def __init__(self, planner: Planner) -> None:
+        self.planner = planner
+        self.log = structlog.get_logger("decisions")
+        self._limits: PublishedLimits = {}
+        self._hold_back_reason: HoldBackReason | None = None
+        self._assigned: AssignedProxies | None = None
+
+    def record(self) -> None:
+        """Log the decisions that the last control interval changed; call after the planner has run."""
+        self._record_limits()
+        self._record_hold_back()
+        self._record_assignments()
+
+    def _record_limits(self) -> None:
+        limits = {
+            (table, index): published
+            for index, state in enumerate(self.planner.fleet.classes)
+            for table, published in state.published.items()
+        }
+        if limits != self._limits:
+            self._limits = limits
+            rows = [[table, index, round(each.limit, 3), each.retry_policy] for (table, index), each in limits.items()]
+            self.log.info("admission limits", limits=sorted(rows), **self._beliefs())
+
+    def _record_hold_back(self) -> None:
+        reason = self.planner.calendar.hold_back_reason
+        if reason is not self._hold_back_reason:
+            before, self._hold_back_reason = self._hold_back_reason, reason
+            self.log.info(
+                "warming endpoints held back" if reason else "warming endpoints admitted",
+                reason=reason.value if reason else None,
+                reason_before=before.value if before else None,
+                **self._beliefs(),
+            )
+
+    def _record_assignments(self) -> None:
+        proxies = self.planner.fleet.proxies.values()
+        with_calendar = sum(proxy.has_calendar for proxy in proxies)
+        with_subset = sum(not proxy.has_calendar and bool(proxy.subsets) for proxy in proxies)
+        assigned = AssignedProxies(with_calendar, with_subset, len(proxies) - with_calendar - with_subset)
+        if assigned != self._assigned:
+            self._assigned = assigned
+            self.log.info("tables assigned", **assigned._asdict())
+
+    def _beliefs(self) -> dict[str, Any]:
+        planner = self.planner
+        capacity, admission = planner.capacity, planner.admission
+        return {
+            "admitted_fraction": round(admission.admitted_fraction, 3),
+            "min_admitted_fraction": round(admission.min_admitted_fraction, 3),
+            "offered_per_s": round(sum(planner.fleet.request_rates()), 1),
+            "goodput_per_s": round(capacity.goodput_per_s, 1),
+            "capacity_per_proxy": round(capacity.per_proxy, 6),
+            "capacity_samples": capacity.samples,
+            "fleet_utilization": round(capacity.effective_utilization, 3),
+            "relative_latency": round(capacity.relative_latency, 3),
+            "in_service": sum(endpoint.is_in_service for endpoint in planner.fleet.endpoints.values()),
+            "in_use": sum(
+                bool(endpoint.published_slots) and not endpoint.is_ejected
+                for endpoint in planner.fleet.endpoints.values()
+            ),
+        }
--- a/quillstep/planner/calendar.py
+++ b/quillstep/planner/calendar.py
@@ -4,6 +4,8 @@
 listed weight, over the sum for all endpoints.  The share is rounded to slots, at least one.
 """
 
+from enum import Enum
+
 from quillstep.planner.admission import MIN_SHEDDING_UTILIZATION, AdmissionController
 from quillstep.planner.capacity import (
     HIGH_RELATIVE_LATENCY,
@@ -18,11 +20,25 @@
 SLOTS_PER_ENDPOINT = 10
 
 
+class HoldBackReason(Enum):
+    """Why warming endpoints stay out of the tables."""
+
+    JOINING = "a proxy has not been assigned the calendar"
+    SETTLING = "reports do not reflect the proxies that joined or left"
+    UNMEASURED = "no capacity has been measured"
+    LOADED = "the fleet is loaded or slow"
+
+
 class Calendar:
-    """Divides the slots of a table among the usable endpoints."""
+    """Divides the slots of a table among the usable endpoints.
+
+    Attributes:
+        hold_back_reason: Why the last calendar left out its warming endpoints; None if it did not.
+    """
 
     def __init__(self, fleet: FleetState, capacity: CapacityEstimator, admission: AdmissionController) -> None:
         self.fleet, self.capacity, self.admission = fleet, capacity, admission
+        self.hold_back_reason: HoldBackReason | None = None
 
     def slots(self, zone: str | None, now_ms: float) -> dict[EndpointId, int]:
         """Returns slots by endpoint, of one zone's calendar or, where the zone is None, of the shared calendar."""
@@ -37,7 +53,8 @@
         config = self.fleet.config
         warm = {id_: e for id_, e in usable.items() if warm_up_fraction(config, e, now_ms) >= 1.0}
         # If no endpoint is warm, the warming ones are used: an empty table would leave proxies without endpoints.
-        if warm and self._must_hold_back_warming(now_ms):
+        self.hold_back_reason = self._reason_to_hold_back(now_ms) if 0 < len(warm) < len(usable) else None
+        if self.hold_back_reason:
             usable = warm
         mean_q = mean_q_value(self.fleet)
         weights = {
@@ -62,17 +79,21 @@
         }
         return {id_: endpoint for id_, endpoint in in_service.items() if not endpoint.is_outlier} or in_service
 
-    def _must_hold_back_warming(self, now_ms: float) -> bool:
-        """Whether warming endpoints stay out of the tables.
+    def _reason_to_hold_back(self, now_ms: float) -> HoldBackReason | None:
+        """Returns why warming endpoints stay out of the tables, or None if they do not.
 
         When many attempts fail, proxies avoid the failing endpoints and send everything to the others, which would
         overload a warming endpoint.  High load, failures and high latency indicate this.  Until a proxy is assigned
         the calendar, its earlier tables give a warming endpoint its full weight.
         """
         capacity, fleet = self.capacity, self.fleet
-        is_joining = not fleet.all_proxies_have_calendar()
+        if not fleet.all_proxies_have_calendar():
+            return HoldBackReason.JOINING
+        if fleet.is_settling(now_ms):
+            return HoldBackReason.SETTLING
+        if not capacity.per_proxy:
+            return HoldBackReason.UNMEASURED
         max_utilization = TARGET_UTILIZATION if self.admission.admitted_fraction == 1.0 else MIN_SHEDDING_UTILIZATION
-        is_loaded = (
-            capacity.effective_utilization > max_utilization or capacity.relative_latency > HIGH_RELATIVE_LATENCY
-        )
-        return is_joining or fleet.is_settling(now_ms) or not capacity.per_proxy or is_loaded
+        if capacity.effective_utilization > max_utilization or capacity.relative_latency > HIGH_RELATIVE_LATENCY:
+            return HoldBackReason.LOADED
+        return None
--- a/quillstep/platform/service.py
+++ b/quillstep/platform/service.py
@@ -20,6 +20,7 @@
 import structlog
 
 from quillstep.controller.control_intervals import ControlIntervals
+from quillstep.controller.decision_log import DecisionLog
 from quillstep.controller.event_queue import EventQueue
 from quillstep.controller.health_checker import HealthChecker
 from quillstep.controller.start_times import StartTimes
@@ -96,7 +97,7 @@
         retention_ms = REMOVED_ENDPOINT_RETENTION_INTERVALS * config.planner.report_interval_ms
         self.endpoints = EndpointRegistry(retention_ms)
         start_times = StartTimes(wall_clock_offset_ms(), retention_ms)
-        self.endpoint_log = EndpointLog(planner)
+        self.endpoint_log, self.decision_log = EndpointLog(planner), DecisionLog(planner)
         self.handler = EventHandler(self.intervals, self.output, self.endpoints, start_times, self.endpoint_log, now_ms)
         self.interval_metrics = IntervalMetrics()
         self.last_status_ms = now_ms()
@@ -172,6 +173,7 @@
         observations = self.intervals.start(now)
         self.intervals.run(observations, self.output)
         self.endpoint_log.record_output(self.output, now)
+        self.decision_log.record()
         for proxy, update in self.output.flush():
             self.handler.streams[proxy].send(0, update)
             self.interval_metrics.updates_sent += 1
