--- /dev/null
+++ b/tests/planner/test_unmeasured_endpoints.py
@@ -0,0 +1,56 @@
+"""Endpoints that have just been put into the tables: their load reports say nothing of the traffic that they get."""
+
+import pytest
+from planner_harness import PlannerHarness, entry, planner_config
+
+ENDPOINTS, REQUESTS = 4, 20
+IDLE, BUSY, FULL = 0.05, 0.6, 1.0
+
+
+def restarted_fleet():
+    """Returns a fleet that sheds some load, and whose endpoints are then restarted and put into the tables at once."""
+    names = [f"s{number}" for number in range(ENDPOINTS)]
+    harness = PlannerHarness(planner_config(), [entry(name) for name in names])
+    harness.settle(util=BUSY, attempts=REQUESTS)
+    harness.settle(util=FULL, attempts=REQUESTS, failures=REQUESTS // 4, intervals=4)
+    harness.observe(after=10.0, endpoint_lists=[("partial", [entry(name, state="terminating") for name in names])])
+    started = [entry(name, started=harness.now_ms + 10.0) for name in names]
+    harness.observe(after=10.0, endpoint_lists=[("partial", started)])
+    harness.run_interval()
+    assert len(harness.slots()) == ENDPOINTS
+    return harness
+
+
+def run_intervals(harness, count, util):
+    """Passes reports of the attempts that proxies made before the restart, and health checks of each endpoint."""
+    for _ in range(count):
+        fleet = harness.fleet
+        harness.run_interval(
+            upstream_stats=[(name, REQUESTS, 0, 200.0, 1000.0, {}) for name in fleet.endpoints],
+            health_checks=[(name, True, 5.0, {} if util is None else {"util": util}) for name in fleet.endpoints],
+            downstream_stats=[(index, proxy, REQUESTS, 0, 1000.0) for index in (0, 1) for proxy in fleet.proxies],
+        )
+
+
+def test_no_capacity_is_learned_from_endpoints_that_have_just_been_put_into_the_tables():
+    harness = restarted_fleet()
+    learned = harness.capacity.per_proxy
+    run_intervals(harness, 2, IDLE)
+    assert harness.capacity.per_proxy == pytest.approx(learned)
+
+
+@pytest.mark.parametrize("util", [None, IDLE])
+def test_admission_does_not_recover_by_the_load_of_endpoints_that_have_just_been_put_into_the_tables(util):
+    harness = restarted_fleet()
+    admitted = harness.admission.admitted_fraction
+    assert admitted < 0.8
+    run_intervals(harness, 3, util)
+    assert harness.admission.admitted_fraction <= admitted * 1.2
+
+
+def test_warming_endpoints_stay_in_the_tables_until_warm_ones_are_in_use():
+    # A join holds them back.  The warm one, a new endpoint, follows only when there is room for it.
+    harness = restarted_fleet()
+    warm = entry("new")
+    harness.observe(after=10.0, endpoint_lists=[("partial", [warm])], proxy_streams=[(7, True, "a", 10.0, False)])
+    assert harness.slots()
