--- a/tests/faults/loaded_fleet.py
+++ b/tests/faults/loaded_fleet.py
@@ -301,6 +301,21 @@
         for connection in connections:
             connection.close()
 
+    async def _forward(self, pilot, zone, writer):
+        try:
+            await super()._forward(pilot, zone, writer)
+        finally:
+            writer.close()
+
+    async def end(self):
+        """Ends all processes, and closes the connections while their event loop still runs."""
+        self.close()
+        for proxy in self.proxies:
+            if proxy.writer:
+                proxy.writer.close()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.sleep(0.1)
+
     async def at(self, seconds):
         await asyncio.sleep(max(0.0, self.ready_s + seconds - time.monotonic()))
 
@@ -325,7 +340,7 @@
                 if pilot.is_open and pilot.process.poll() is not None:
                     self.violate(f"{pilot.name} ended with status {pilot.process.poll()}")
         finally:
-            self.close()
+            await self.end()
         self.violations += [f"drain: {late:.2f} s late, proxy {proxy}, {name}" for late, proxy, name in self.late_sends]
         self.violations += [f"bare: proxy {proxy}, class {index}" for proxy, index in self.bare]
         return self.violations
