Keep warming endpoints in the tables until a warm one is in use

Cause: hold-back asked whether a warm endpoint exists, not whether a table lists it. Now the warming endpoints in use stay until a warm one is in use. test_warming_endpoints_stay_in_the_tables_until_warm_ones_are_in_use failed before.

--- a/quillstep/controller/decision_log.py
+++ b/quillstep/controller/decision_log.py
@@ -5,6 +5,7 @@
 import structlog
 
 from quillstep.planner.calendar import HoldBackReason
+from quillstep.planner.outliers import is_in_use
 from quillstep.planner.planner import Planner
 from quillstep.planner.state import PublishedAdmission
 
@@ -82,8 +83,5 @@
             "fleet_utilization": round(capacity.effective_utilization, 3),
             "relative_latency": round(capacity.relative_latency, 3),
             "in_service": sum(endpoint.is_in_service for endpoint in planner.fleet.endpoints.values()),
-            "in_use": sum(
-                bool(endpoint.published_slots) and not endpoint.is_ejected
-                for endpoint in planner.fleet.endpoints.values()
-            ),
+            "in_use": sum(map(is_in_use, planner.fleet.endpoints.values())),
         }
--- a/quillstep/planner/calendar.py
+++ b/quillstep/planner/calendar.py
@@ -14,6 +14,7 @@
     warm_up_fraction,
 )
 from quillstep.planner.messages import EndpointId
+from quillstep.planner.outliers import is_in_use
 from quillstep.planner.q_learning import mean_q_value
 from quillstep.planner.state import EndpointState, FleetState
 
@@ -55,7 +56,7 @@
         # If no endpoint is warm, the warming ones are used: an empty table would leave proxies without endpoints.
         self.hold_back_reason = self._reason_to_hold_back(now_ms) if 0 < len(warm) < len(usable) else None
         if self.hold_back_reason:
-            usable = warm
+            usable = _without_warming(usable, warm)
         mean_q = mean_q_value(self.fleet)
         weights = {
             id_: (mean_q if endpoint.q_value is None else endpoint.q_value) * (endpoint.listed_weight or 1.0)
@@ -97,3 +98,15 @@
         if capacity.effective_utilization > max_utilization or capacity.relative_latency > HIGH_RELATIVE_LATENCY:
             return HoldBackReason.LOADED
         return None
+
+
+def _without_warming(
+    usable: dict[EndpointId, EndpointState], warm: dict[EndpointId, EndpointState]
+) -> dict[EndpointId, EndpointState]:
+    """Returns the warm endpoints and, until one of these is in use, the warming ones in use.
+
+    Ejections precede added and restored endpoints, so tables would be empty until the warm endpoints follow.
+    """
+    if any(is_in_use(endpoint) for endpoint in warm.values()):
+        return warm
+    return {id_: endpoint for id_, endpoint in usable.items() if id_ in warm or is_in_use(endpoint)}
--- a/quillstep/planner/outliers.py
+++ b/quillstep/planner/outliers.py
@@ -60,7 +60,12 @@
         for endpoint in fleet.endpoints.values()
         if endpoint.is_in_service and not endpoint.is_outlier and not is_unreachable(fleet, endpoint)
     ]
-    return [endpoint for endpoint in usable if endpoint.published_slots and not endpoint.is_ejected] or usable
+    return [endpoint for endpoint in usable if is_in_use(endpoint)] or usable
+
+
+def is_in_use(endpoint: EndpointState) -> bool:
+    """Whether the proxies' tables list an endpoint that is not ejected."""
+    return bool(endpoint.published_slots) and not endpoint.is_ejected
 
 
 def _min_failures(fleet: FleetState) -> int:
