Hold limits and learned capacity while the load of warming endpoints in use is unknown

Callers: when a release had restarted all endpoints, those that were warming up got up to 15 times what they could do, and failed. Cause: a load report from before an endpoint was put into the tables counted as its load. Once the last warm endpoint had drained, the fleet seemed idle: admission recovered to all requests, and the capacity per proxy was learned as the goodput of earlier endpoints over next to no load. Evidence: the log of the reproduction (admission limits): fleet_utilization 0.0, admitted_fraction 0.94 to 1.0, capacity_per_proxy 0.26 to 0.67 where 0.12 is right, one second before the first endpoint fails.

--- a/quillstep/planner/admission.py
+++ b/quillstep/planner/admission.py
@@ -10,7 +10,7 @@
     HIGH_RELATIVE_LATENCY,
     TARGET_UTILIZATION,
     CapacityEstimator,
-    warm_up_fraction,
+    usable_capacity,
 )
 from quillstep.planner.outliers import endpoints_in_use
 from quillstep.planner.state import (
@@ -50,12 +50,10 @@
     def update(self, now_ms: float, is_interval_due: bool) -> None:
         """Updates limits and retry policies; learned and smoothed values change only when an interval is due."""
         in_use = endpoints_in_use(self.fleet)
-        usable_weight = sum(
-            (endpoint.listed_weight or 1.0) * warm_up_fraction(self.fleet.config, endpoint, now_ms)
-            for endpoint in in_use
-        )
+        usable_weight = usable_capacity(self.fleet.config, in_use.values(), now_ms)
+        self.capacity.update_usage(in_use, usable_weight, now_ms)
         if is_interval_due:
-            self.capacity.learn(in_use, usable_weight)
+            self.capacity.learn(in_use.values(), usable_weight)
         first_attempt_rates = self.first_attempt_rates()
         allowed_per_s = self._allowed_per_s(usable_weight)
         self._update_admitted_fraction(allowed_per_s, sum(first_attempt_rates), now_ms, is_interval_due)
@@ -83,14 +81,16 @@
         capacity, utilization = self.capacity, self.capacity.effective_utilization
         # The previous controller may have limited the load of a migrating proxy: it counts as new load.
         has_migrated = self.fleet.has_recent_migration(now_ms) and utilization > LOW_UTILIZATION
-        may_shed = has_migrated or utilization > MIN_SHEDDING_UTILIZATION or self.admitted_fraction < 1.0
+        is_loaded = has_migrated or utilization > MIN_SHEDDING_UTILIZATION or not capacity.is_measured
+        may_shed = is_loaded or self.admitted_fraction < 1.0
         if may_shed and capacity.per_proxy and offered_per_s:
             self.admitted_fraction = min(1.0, allowed_per_s / offered_per_s)
         else:
             self.admitted_fraction = 1.0
         # Admission recovers regardless of the apparent demand, which includes repeats of rejected requests.  Failures
-        # count as utilization, so admission does not recover in a fleet that fails at low load.
-        if utilization > MIN_SHEDDING_UTILIZATION or has_migrated:
+        # count as utilization, so admission does not recover in a fleet that fails at low load.  An unknown load is not
+        # a low one.
+        if is_loaded:
             self.min_admitted_fraction = self.admitted_fraction
         elif is_interval_due:
             self.min_admitted_fraction = min(1.0, self.min_admitted_fraction + ADMISSION_RECOVERY_FRACTION)
--- a/quillstep/planner/calendar.py
+++ b/quillstep/planner/calendar.py
@@ -11,6 +11,7 @@
     HIGH_RELATIVE_LATENCY,
     TARGET_UTILIZATION,
     CapacityEstimator,
+    is_warm,
     warm_up_fraction,
 )
 from quillstep.planner.messages import EndpointId
@@ -52,7 +53,7 @@
         """Returns Q value times listed weight; warming endpoints are capped at their fraction of the warm mean."""
         usable = self._usable_endpoints(zone)
         config = self.fleet.config
-        warm = {id_: e for id_, e in usable.items() if warm_up_fraction(config, e, now_ms) >= 1.0}
+        warm = {id_: e for id_, e in usable.items() if is_warm(config, e, now_ms)}
         # If no endpoint is warm, the warming ones are used: an empty table would leave proxies without endpoints.
         self.hold_back_reason = self._reason_to_hold_back(now_ms) if 0 < len(warm) < len(usable) else None
         if self.hold_back_reason:
--- a/quillstep/planner/capacity.py
+++ b/quillstep/planner/capacity.py
@@ -7,8 +7,9 @@
 
 from collections.abc import Iterable
 
-from quillstep.planner.messages import PlannerConfig
+from quillstep.planner.messages import EndpointId, PlannerConfig
 from quillstep.planner.state import SETTLING_INTERVALS, EndpointState, FleetState
+from quillstep.planner.usage import EndpointUsage
 
 TARGET_UTILIZATION = 0.85  # fleet utilization that admission limits are set for
 SATURATED_UTILIZATION = 0.95  # from this utilization on, goodput no longer indicates capacity
@@ -19,13 +20,16 @@
 LOW_RELATIVE_LATENCY = 0.35  # below this, an endpoint's lost responses count as completed work
 SMOOTHING_GAIN = 0.5  # smoothing factor per interval of relative latency and goodput
 CAPACITY_GAIN = 0.3  # smoothing factor per interval of the learned capacity
+MIN_MEASURED_SHARE = 0.5  # of the capacity in use, whose load is known
 
 
 class CapacityEstimator:
     """Learns the fleet's capacity from the observations of each control interval.
 
     Attributes:
-        mean_utilization: Mean utilization of the endpoints in use.
+        is_measured: Whether the load of the endpoints in use is known.  Warming endpoints that have just been put into
+            the tables report the load that they had before.
+        mean_utilization: Mean utilization of the endpoints in use; the last one that was measured.
         effective_utilization: Mean utilization, raised when a loaded fleet is slow as well; it may exceed 1.
         relative_latency: Mean attempt time over the latency objective, smoothed; a failure counts as 1.
         goodput_per_s: Successful attempts per second over all joined proxies, smoothed.
@@ -35,6 +39,8 @@
 
     def __init__(self, fleet: FleetState) -> None:
         self.fleet = fleet
+        self.usage = EndpointUsage()
+        self.is_measured = True
         self.mean_utilization = 0.0
         self.effective_utilization = 0.0
         self.relative_latency = 0.0
@@ -75,13 +81,32 @@
         total = sum(rates)
         return offered_ms / total if total else 0.0
 
+    def update_usage(self, in_use: dict[EndpointId, EndpointState], usable_weight: float, now_ms: float) -> None:
+        """Updates whether the load of the endpoints in use is known.
+
+        Args:
+            in_use: The endpoints that proxies can use.
+            usable_weight: Their total listed weight; a warming endpoint counts by the fraction of capacity that it has.
+            now_ms: The current time.
+        """
+        self.usage.update(in_use, now_ms)
+        measured = [
+            endpoint
+            for id_, endpoint in in_use.items()
+            if is_warm(self.fleet.config, endpoint, now_ms) or self.usage.is_settled(id_, endpoint, now_ms)
+        ]
+        measured_weight = usable_capacity(self.fleet.config, measured, now_ms)
+        self.is_measured = measured_weight >= MIN_MEASURED_SHARE * usable_weight
+
     def learn(self, in_use: Iterable[EndpointState], usable_weight: float) -> None:
-        """Updates the utilization of the endpoints in use, and learns the capacity from it.
+        """Updates the utilization of the endpoints in use, and learns the capacity from it, if their load is known.
 
         Args:
             in_use: The endpoints that proxies can use.
             usable_weight: Their total listed weight; a warming endpoint counts by the fraction of capacity that it has.
         """
+        if not self.is_measured:
+            return
         utilizations = [endpoint.utilization for endpoint in in_use if endpoint.utilization is not None]
         self.mean_utilization = sum(utilizations) / len(utilizations) if utilizations else 0.0
         latency_factor = 1.0
@@ -117,6 +142,16 @@
         )
 
 
+def usable_capacity(config: PlannerConfig, endpoints: Iterable[EndpointState], now_ms: float) -> float:
+    """Returns the total listed weight of endpoints, each times the fraction of its capacity that it has."""
+    return sum((endpoint.listed_weight or 1.0) * warm_up_fraction(config, endpoint, now_ms) for endpoint in endpoints)
+
+
+def is_warm(config: PlannerConfig, endpoint: EndpointState, now_ms: float) -> bool:
+    """Whether an endpoint has all of its capacity."""
+    return warm_up_fraction(config, endpoint, now_ms) >= 1.0
+
+
 def warm_up_fraction(config: PlannerConfig, endpoint: EndpointState, now_ms: float) -> float:
     """Returns the fraction of its capacity that an endpoint has, which rises from the initial one to 1 over warm-up."""
     if not endpoint.started_ms or not config.warm_up_ms:
--- a/quillstep/planner/endpoint_changes.py
+++ b/quillstep/planner/endpoint_changes.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from quillstep.planner.calendar import SLOTS_PER_ENDPOINT, Calendar
-from quillstep.planner.capacity import warm_up_fraction
+from quillstep.planner.capacity import is_warm
 from quillstep.planner.messages import EndpointId
 from quillstep.planner.overdue_updates import UpdateKind
 from quillstep.planner.state import CONTROL_INTERVAL_MS, EndpointState, FleetState
@@ -95,7 +95,7 @@
 
     def _has_reduced_capacity(self, state: EndpointState, now_ms: float) -> bool:
         """Whether an endpoint is not in service, or is still warming up."""
-        return not state.is_in_service or warm_up_fraction(self.fleet.config, state, now_ms) < 1.0
+        return not state.is_in_service or not is_warm(self.fleet.config, state, now_ms)
 
     def _endpoints_in_subsets(self) -> set[EndpointId] | None:
         """Returns the endpoints that any proxy's subset lists; None while a proxy uses another controller's tables."""
--- a/quillstep/planner/outliers.py
+++ b/quillstep/planner/outliers.py
@@ -49,18 +49,18 @@
     )
 
 
-def endpoints_in_use(fleet: FleetState) -> list[EndpointState]:
+def endpoints_in_use(fleet: FleetState) -> dict[EndpointId, EndpointState]:
     """Returns the endpoints that proxies can use: without unreachable ones, even if not marked as outliers.
 
     Endpoints that are not published yet are idle, and would hide that all others are full; they count only if no
     endpoint is published.
     """
-    usable = [
-        endpoint
-        for endpoint in fleet.endpoints.values()
+    usable = {
+        id_: endpoint
+        for id_, endpoint in fleet.endpoints.items()
         if endpoint.is_in_service and not endpoint.is_outlier and not is_unreachable(fleet, endpoint)
-    ]
-    return [endpoint for endpoint in usable if is_in_use(endpoint)] or usable
+    }
+    return {id_: endpoint for id_, endpoint in usable.items() if is_in_use(endpoint)} or usable
 
 
 def is_in_use(endpoint: EndpointState) -> bool:
