Count no endpoint as capacity before a table lists it

Callers: where all endpoints had drained, the first restarted one that was put into the tables got all requests that were meant for ten or more. Cause: with nothing in use, the endpoints that wait for the channel counted as in use, so limits were set for all of them (log: in_use 0, admitted_fraction 0.77 to 1.0); and no load at all counted as known. Now these count only until the planner has published the first endpoint; with none in use the load is unknown. test_endpoints_that_no_table_lists_yet_are_no_capacity failed before (0.57 in place of 0).

--- a/quillstep/planner/capacity.py
+++ b/quillstep/planner/capacity.py
@@ -96,7 +96,7 @@
             if is_warm(self.fleet.config, endpoint, now_ms) or self.usage.is_settled(id_, endpoint, now_ms)
         ]
         measured_weight = usable_capacity(self.fleet.config, measured, now_ms)
-        self.is_measured = measured_weight >= MIN_MEASURED_SHARE * usable_weight
+        self.is_measured = bool(in_use) and measured_weight >= MIN_MEASURED_SHARE * usable_weight
 
     def learn(self, in_use: Iterable[EndpointState], usable_weight: float) -> None:
         """Updates the utilization of the endpoints in use, and learns the capacity from it, if their load is known.
--- a/quillstep/planner/outliers.py
+++ b/quillstep/planner/outliers.py
@@ -52,15 +52,17 @@
 def endpoints_in_use(fleet: FleetState) -> dict[EndpointId, EndpointState]:
     """Returns the endpoints that proxies can use: without unreachable ones, even if not marked as outliers.
 
-    Endpoints that are not published yet are idle, and would hide that all others are full; they count only if no
-    endpoint is published.
+    Endpoints that are not published yet are idle, and would hide that all others are full or gone; they count only
+    until the first endpoint is published.
     """
     usable = {
         id_: endpoint
         for id_, endpoint in fleet.endpoints.items()
         if endpoint.is_in_service and not endpoint.is_outlier and not is_unreachable(fleet, endpoint)
     }
-    return {id_: endpoint for id_, endpoint in usable.items() if is_in_use(endpoint)} or usable
+    if not any(endpoint.published_slots for endpoint in fleet.endpoints.values()):
+        return usable
+    return {id_: endpoint for id_, endpoint in usable.items() if is_in_use(endpoint)}
 
 
 def is_in_use(endpoint: EndpointState) -> bool:
--- a/tests/planner/test_unmeasured_endpoints.py
+++ b/tests/planner/test_unmeasured_endpoints.py
@@ -5,6 +5,7 @@
 
 from quillstep.planner.admission import ADMISSION_RECOVERY_FRACTION
 from quillstep.planner.capacity import warm_up_fraction
+from quillstep.planner.messages import EndpointListUpdate
 
 ENDPOINTS, REQUESTS = 4, 20
 IDLE, BUSY, FULL = 0.05, 0.6, 1.0
@@ -21,6 +22,7 @@
     started = [entry(name, started=harness.now_ms + 10.0) for name in names]
     harness.observe(after=10.0, endpoint_lists=[("partial", started)])
     harness.run_interval()
+    run_intervals(harness, 1, None)
     assert len(harness.slots()) == ENDPOINTS
     return harness
 
@@ -53,6 +55,18 @@
     assert harness.admission.admitted_fraction < admitted * growth + ADMISSION_RECOVERY_FRACTION
 
 
+def test_endpoints_that_no_table_lists_yet_are_no_capacity():
+    # The first one that is added would get all requests that the others are to share.
+    names = [f"s{number}" for number in range(ENDPOINTS)]
+    harness = PlannerHarness(planner_config(), [entry(name) for name in names])
+    harness.settle(util=BUSY, attempts=REQUESTS)
+    harness.observe(after=10.0, endpoint_lists=[("partial", [entry(name, state="terminating") for name in names])])
+    waiting = [entry(f"new{number}", started=harness.now_ms) for number in range(ENDPOINTS)]
+    harness.planner.fleet.apply_endpoint_list(EndpointListUpdate("partial", waiting), harness.now_ms)
+    harness.admission.update(harness.now_ms, True)
+    assert harness.admission.admitted_fraction == 0.0
+
+
 def present_capacity(harness):
     return sum(warm_up_fraction(harness.config, each, harness.now_ms) for each in harness.fleet.endpoints.values())
 
