Lower the capacity to what the endpoints in use have shown where limits depend on it alone

Callers: while a release drained one group after another, the learned capacity rose to two to five times the right one, and the endpoints that were warming up were overloaded by limits set from it. Cause: the goodput of endpoints that have just left counted as that of the rest (log: in_use 4 to 1, capacity_per_proxy 0.26 to 0.50 within 1.4 s, 0.12 is right). While warm endpoints are in use their utilization corrects the limits; without any, nothing does. Now a second estimate counts the goodput of the endpoints in use alone, and the lower one holds once the load is unknown. Three assignments in tests name the renamed attribute.

--- a/quillstep/planner/capacity.py
+++ b/quillstep/planner/capacity.py
@@ -5,7 +5,8 @@
 share of the capacity with them.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
 
 from quillstep.planner.messages import EndpointId, PlannerConfig
 from quillstep.planner.state import SETTLING_INTERVALS, EndpointState, FleetState
@@ -23,6 +24,36 @@
 MIN_MEASURED_SHARE = 0.5  # of the capacity in use, whose load is known
 
 
+@dataclass(slots=True)
+class LearnedCapacity:
+    """Attempts per second that a proxy may send to a unit of listed weight; 0 until learned."""
+
+    per_proxy: float = 0.0
+    samples: int = 0  # control intervals in which it was learned
+
+    def learn(self, goodput_per_s: float, utilization: float, usable_units: float) -> None:
+        """Learns the capacity while the fleet is not full, and reduces it while the fleet is overloaded.
+
+        Args:
+            goodput_per_s: Completed attempts per second.
+            utilization: The fleet's effective utilization, above 0.
+            usable_units: The listed weight that completed them, times the number of proxies.
+        """
+        if utilization < SATURATED_UTILIZATION:
+            observed = goodput_per_s / utilization / usable_units
+            self.samples += 1
+            # The first samples raise the estimate at once: one smoothed up from zero would shed most load.
+            gain = 1.0 if observed > self.per_proxy and self.samples <= SETTLING_INTERVALS else CAPACITY_GAIN
+            self.per_proxy += gain * (observed - self.per_proxy)
+        elif not self.per_proxy:
+            # The planner started during overload, where most attempts are retries: there are no unloaded intervals
+            # to learn from.
+            self.per_proxy = goodput_per_s / utilization**2 / usable_units
+            self.samples = SETTLING_INTERVALS
+        elif utilization > OVERLOADED_UTILIZATION:
+            self.per_proxy *= OVERLOAD_CAPACITY_FACTOR
+
+
 class CapacityEstimator:
     """Learns the fleet's capacity from the observations of each control interval.
 
@@ -33,8 +64,8 @@
         effective_utilization: Mean utilization, raised when a loaded fleet is slow as well; it may exceed 1.
         relative_latency: Mean attempt time over the latency objective, smoothed; a failure counts as 1.
         goodput_per_s: Successful attempts per second over all joined proxies, smoothed.
-        per_proxy: Attempts per second that a proxy may send to a unit of listed weight; 0 until learned.
-        samples: Control intervals in which `per_proxy` was learned.
+        learned: Learned from all attempts.
+        learned_in_use: Learned from the attempts at the endpoints in use.
     """
 
     def __init__(self, fleet: FleetState) -> None:
@@ -45,8 +76,7 @@
         self.effective_utilization = 0.0
         self.relative_latency = 0.0
         self.goodput_per_s = 0.0
-        self.per_proxy = 0.0
-        self.samples = 0
+        self.learned, self.learned_in_use = LearnedCapacity(), LearnedCapacity()
         self._counted_since_ms = 0.0
 
     def start(self, now_ms: float) -> None:
@@ -56,6 +86,7 @@
     def measure_attempts(self, now_ms: float) -> None:
         """Updates relative latency and goodput from all attempts since the last control interval."""
         objective_ms = self._mean_latency_objective_ms()
+        elapsed_ms = max(1.0, now_ms - self._counted_since_ms)
         attempts = spent_ms = answered = 0.0
         for endpoint in self.fleet.endpoints.values():
             successes = endpoint.attempts - endpoint.failures
@@ -66,10 +97,11 @@
                 endpoint.total_success_ms < LOW_RELATIVE_LATENCY * objective_ms * successes
                 and (endpoint.utilization or 0.0) < TARGET_UTILIZATION
             )
-            answered += endpoint.attempts if is_fast else successes
+            completed = endpoint.attempts if is_fast else successes
+            answered += completed
+            endpoint.goodput_per_s += SMOOTHING_GAIN * (1000.0 * completed / elapsed_ms - endpoint.goodput_per_s)
         if attempts and objective_ms:
             self.relative_latency += SMOOTHING_GAIN * (spent_ms / attempts / objective_ms - self.relative_latency)
-        elapsed_ms = max(1.0, now_ms - self._counted_since_ms)
         self.goodput_per_s += SMOOTHING_GAIN * (1000.0 * answered / elapsed_ms - self.goodput_per_s)
         self._counted_since_ms = now_ms
 
@@ -97,8 +129,19 @@
         ]
         measured_weight = usable_capacity(self.fleet.config, measured, now_ms)
         self.is_measured = bool(in_use) and measured_weight >= MIN_MEASURED_SHARE * usable_weight
+        if not self.is_measured:
+            self._lower_to_capacity_in_use()
+
+    def _lower_to_capacity_in_use(self) -> None:
+        """Lowers the learned capacity to what the endpoints in use have shown.
 
-    def learn(self, in_use: Iterable[EndpointState], usable_weight: float) -> None:
+        Attempts at endpoints that have just left the tables make the capacity of the others seem too high.  The
+        utilization of these corrects that, but limits depend on the capacity alone while the load is not known.
+        """
+        if 0.0 < self.learned_in_use.per_proxy < self.learned.per_proxy:
+            self.learned.per_proxy = self.learned_in_use.per_proxy
+
+    def learn(self, in_use: Collection[EndpointState], usable_weight: float) -> None:
         """Updates the utilization of the endpoints in use, and learns the capacity from it, if their load is known.
 
         Args:
@@ -117,23 +160,20 @@
         if self.effective_utilization > 0.0 and self.goodput_per_s > 0.0 and usable_weight and proxies:
             # Only proxies that have reported: goodput does not include the traffic of the others yet.
             reporting = max(1, sum(proxy.has_reported for proxy in proxies.values()))
-            self._learn_per_proxy(usable_weight * reporting)
-
-    def _learn_per_proxy(self, usable_units: float) -> None:
-        """Learns the capacity while the fleet is not full, and reduces it while the fleet is overloaded."""
-        if self.effective_utilization < SATURATED_UTILIZATION:
-            observed = self.goodput_per_s / self.effective_utilization / usable_units
-            self.samples += 1
-            # The first samples raise the estimate at once: one smoothed up from zero would shed most load.
-            gain = 1.0 if observed > self.per_proxy and self.samples <= SETTLING_INTERVALS else CAPACITY_GAIN
-            self.per_proxy += gain * (observed - self.per_proxy)
-        elif not self.per_proxy:
-            # The planner started during overload, where most attempts are retries: there are no unloaded intervals
-            # to learn from.
-            self.per_proxy = self.goodput_per_s / self.effective_utilization**2 / usable_units
-            self.samples = SETTLING_INTERVALS
-        elif self.effective_utilization > OVERLOADED_UTILIZATION:
-            self.per_proxy *= OVERLOAD_CAPACITY_FACTOR
+            usable_units = usable_weight * reporting
+            self.learned.learn(self.goodput_per_s, self.effective_utilization, usable_units)
+            goodput_in_use_per_s = sum(endpoint.goodput_per_s for endpoint in in_use)
+            self.learned_in_use.learn(goodput_in_use_per_s, self.effective_utilization, usable_units)
+
+    @property
+    def per_proxy(self) -> float:
+        """Attempts per second that a proxy may send to a unit of listed weight; 0 until learned."""
+        return self.learned.per_proxy
+
+    @property
+    def samples(self) -> int:
+        """Control intervals in which the capacity was learned."""
+        return self.learned.samples
 
     def is_learned(self) -> bool:
         """Whether the estimate is reliable: learned in enough intervals, or the fleet is full."""
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -63,6 +63,7 @@
     q_value: float | None = None  # None until a load has been reported
     q_updated_ms: float | None = None
     utilization: float | None = None  # smoothed; failing attempts count as load
+    goodput_per_s: float = 0.0  # completed attempts, smoothed
     failures_since_success: float = 0
     failed_health_checks: int = 0  # consecutive
     passed_health_checks: int = 0  # consecutive
@@ -147,11 +148,15 @@
         state.delisted_ms = now_ms if entry.state == "terminated" else None
 
     def _restarted(self, entry: EndpointEntry, before: EndpointState | None) -> EndpointState:
-        """Returns the state of an endpoint that was added or restarted; only the published values carry over."""
+        """Returns the state of an endpoint that was added or restarted.
+
+        The published values carry over, and the goodput, which late reports are part of.
+        """
         state = EndpointState(entry.zone, False, entry.weight, entry.started_ms)
         if before is not None:
             state.is_in_service = bool(before.published_slots)
             state.published_slots, state.is_ejected = before.published_slots, before.is_ejected
+            state.goodput_per_s = before.goodput_per_s
         self.has_urgent_change |= bool(state.published_slots) and not state.is_ejected
         return state
 
--- a/tests/planner/test_admission.py
+++ b/tests/planner/test_admission.py
@@ -11,7 +11,7 @@
     harness = PlannerHarness(planner_config(admission=admission), entries=[entry(1), entry(2)])
     harness.settle(util=0.4)
     unloaded = harness.limits()
-    harness.capacity.per_proxy /= 3.0
+    harness.capacity.learned.per_proxy /= 3.0
     harness.settle(util=0.9, intervals=1)
     low, high = harness.limits()
     assert 0 < low[0] < unloaded[0][0] and high[0] == unloaded[1][0]
@@ -75,7 +75,7 @@
     harness.settle(util=util)
     harness.admission.admitted_fraction, harness.admission.min_admitted_fraction = 0.5, 0.0
     harness.capacity.goodput_per_s = 1.0
-    harness.capacity.per_proxy *= 0.7
+    harness.capacity.learned.per_proxy *= 0.7
     harness.admission.update(harness.now_ms, is_interval_due=True)
     assert harness.admission.rate_gain == pytest.approx(gain)
     limit = harness.admission.admission_limit(0, 0.5)
--- a/tests/planner/test_calendar.py
+++ b/tests/planner/test_calendar.py
@@ -44,7 +44,7 @@
     # Guards against adding warming endpoints while the fleet is close to its capacity.
     harness = PlannerHarness(planner_config(), entries=[entry(1), entry(2), entry(3)])
     harness.settle(util=0.8, attempts=10)
-    harness.capacity.per_proxy *= 0.9
+    harness.capacity.learned.per_proxy *= 0.9
     harness.run_interval(endpoint_lists=[("partial", [entry(1, started=harness.now_ms)])])
     assert harness.admission.admitted_fraction < 1.0 and 1 not in harness.slots()
 
--- a/tests/planner/test_unmeasured_endpoints.py
+++ b/tests/planner/test_unmeasured_endpoints.py
@@ -77,3 +77,17 @@
     warm = entry("new")
     harness.observe(after=10.0, endpoint_lists=[("partial", [warm])], proxy_streams=[(7, True, "a", 10.0, False)])
     assert harness.slots()
+
+
+def test_attempts_at_endpoints_that_have_left_do_not_raise_the_capacity_that_limits_depend_on():
+    # A release drains the warm endpoints one by one; limits for the warming ones then depend on what was learned.
+    names = [f"s{number}" for number in range(ENDPOINTS)]
+    harness = PlannerHarness(planner_config(), [entry(name) for name in names])
+    harness.settle(util=BUSY, attempts=REQUESTS)
+    learned = harness.capacity.per_proxy
+    for name in names:
+        drained = ("partial", [entry(name, state="terminating")])
+        harness.observe(after=10.0, endpoint_lists=[drained])
+        run_intervals(harness, 2, BUSY)  # the attempts reported are those of all endpoints, as before
+    assert not harness.capacity.is_measured
+    assert harness.capacity.per_proxy < 1.1 * learned
