Assign subsets of warming endpoints with the present limits

Callers: after a restart of the only controller of 400 proxies, while no endpoint was warm, proxies that wait for the calendar sent everything to the few warming endpoints of their subsets. Cause: limits are written for calendars alone, so a proxy on a subset had none, for up to ten seconds. Now a subset without a warm endpoint carries the limits of its classes. test_a_subset_of_warming_endpoints_is_assigned_with_the_present_limits failed before.

--- a/quillstep/planner/assignment.py
+++ b/quillstep/planner/assignment.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+from quillstep.planner.capacity import is_warm
 from quillstep.planner.messages import EndpointId, PlannerOutput
 from quillstep.planner.state import CONTROL_INTERVAL_MS, CalendarTable, FleetState, JoinedProxy
 from quillstep.planner.update_budget import ASSUMED_RATE_FRACTION, UpdateBudget
@@ -22,6 +23,7 @@
     def __init__(self, fleet: FleetState, budget: UpdateBudget) -> None:
         self.fleet, self.budget = fleet, budget
         self._subsets: dict[int, list[EndpointId]] = {}  # endpoints by subset table
+        self._limited_subsets: set[int] = set()  # subset tables that limits have been written for
 
     def proxies_without_usable_endpoint(self) -> list[int]:
         """Returns the proxies that need a subset before any other update, in the order they joined.
@@ -92,6 +94,7 @@
         subset = self._subset_for(number, published, ejected)
         subset_table = FIRST_SUBSET_TABLE + number * (1 + len(self.fleet.config.zones)) + table.number
         self._write_subset(subset_table, subset, table, output)
+        self._write_limits(subset_table, subset, table, output)
         self.fleet.proxies[number].subsets.append(subset)
         output.assign_table(number, subset_table, table.classes)
         return subset
@@ -119,6 +122,19 @@
             output.set_weight(subset_table, endpoint, slots)
         self._subsets[subset_table] = subset
 
+    def _write_limits(
+        self, subset_table: int, subset: list[EndpointId], table: CalendarTable, output: PlannerOutput
+    ) -> None:
+        """Writes the present limits if all endpoints of a subset are warming up, as requests would overload them."""
+        fleet = self.fleet
+        has_warm = any(is_warm(fleet.config, fleet.endpoints[id_], fleet.now_ms) for id_ in subset)
+        if fleet.config.admission == "none" or (has_warm and subset_table not in self._limited_subsets):
+            return
+        self._limited_subsets.add(subset_table)
+        for index in table.classes:
+            state = fleet.classes[index]
+            output.set_admission(subset_table, [index], state.admission_limit, state.retry_policy)
+
 
 def may_lack_usable_endpoint(proxy: JoinedProxy, ejected: set[EndpointId]) -> bool:
     """Whether all endpoints of one of a proxy's subsets, or of the tables it joined with, may be ejected."""
--- a/quillstep/planner/planner.py
+++ b/quillstep/planner/planner.py
@@ -75,7 +75,7 @@
         """
         if self.config.slices:
             return  # sliced key spaces are not supported
-        now_ms = observations.now_ms
+        now_ms = self.fleet.now_ms = observations.now_ms
         if self._next_interval_ms is None:
             self._next_interval_ms = self._start(now_ms, output)
         self._observe(observations)
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -118,6 +118,7 @@
         self.tables = calendar_tables(config)
         self.has_urgent_change = False
         self.must_watch_again = False
+        self.now_ms = 0.0  # time of the present control interval
         self.last_proxy_change_ms = self.last_migration_ms = float("-inf")
 
     def apply_endpoint_list(self, update: EndpointListUpdate, now_ms: float) -> None:
--- a/tests/planner/test_assignment.py
+++ b/tests/planner/test_assignment.py
@@ -93,3 +93,15 @@
         proxy.subsets = []
     harness.planner.assigner.assign_subsets(list(harness.fleet.proxies), harness)
     assert all(subset and min(subset) >= 12 for proxy in harness.fleet.proxies.values() for subset in proxy.subsets)
+
+
+def test_a_subset_of_warming_endpoints_is_assigned_with_the_present_limits():
+    # A proxy on a subset waits for seconds for the calendar: without limits it would overload the warming endpoints.
+    names = [f"s{number}" for number in range(6)]
+    harness = PlannerHarness(planner_config(), [entry(name, started=900.0) for name in names])
+    harness.observe(after=10.0, endpoint_lists=[("partial", [entry("s0", state="terminating")])])
+    joins = [(number, True, "a", 10.0, False) for number in range(10, 13)]
+    harness.observe(after=10.0, proxy_streams=joins)
+    assigned = {call[2] for call in harness.written if call[0] == "assign_table" and call[2] >= FIRST_SUBSET_TABLE}
+    limited = {call[1]: call[3] for call in harness.written if call[0] == "set_admission"}
+    assert len(assigned) == 3 and assigned <= limited.keys() and all(limited[table] < 0.5 for table in assigned)
