Learn no capacity from warming endpoints that a planner has published at its start

Cause: the endpoints in use at the first control interval counted as always in use, but the tables of the controller before may not have listed those that are warming up, so their load was that of idle endpoints. test_a_controller_that_starts_learns_no_capacity_... failed before (792 in place of 0).

--- a/tests/planner/test_unmeasured_endpoints.py
+++ b/tests/planner/test_unmeasured_endpoints.py
@@ -91,3 +91,11 @@
         run_intervals(harness, 2, BUSY)  # the attempts reported are those of all endpoints, as before
     assert not harness.capacity.is_measured
     assert harness.capacity.per_proxy < 1.1 * learned
+
+
+def test_a_controller_that_starts_learns_no_capacity_from_warming_endpoints_it_has_just_published():
+    # The tables of the controller before it may not have listed them: their load would be that of idle endpoints.
+    started = [entry(f"s{number}", started=900.0) for number in range(ENDPOINTS)]
+    harness = PlannerHarness(planner_config(warm_up_ms=WARM_UP_MS), started)
+    run_intervals(harness, 4, IDLE)
+    assert harness.capacity.per_proxy == 0.0 and not harness.capacity.is_measured
