--- a/tests/planner/test_warming_fleet.py
+++ b/tests/planner/test_warming_fleet.py
@@ -44,3 +44,20 @@
 def test_no_warming_endpoint_is_overloaded_while_half_of_the_fleet_is_restarted(seed):
     overloaded = drawn_fleet(seed, ENDPOINTS // 2).run(LENGTH_S)
     assert not overloaded, f"time, endpoint, age, multiple: {overloaded}"
+
+
+@pytest.mark.parametrize("seed", [1, 4, 17, 23])
+def test_no_warming_endpoint_is_overloaded_where_all_controllers_restart_during_a_release(seed):
+    draw = Random(seed * 104729)
+    proxies, load = draw.choice([14, 40, 150, 150, 400]), draw.uniform(0.45, 0.7)
+    controllers, admission = draw.choice([1, 2, 2, 3]), draw.choice(["rate", "rate", "share"])
+    fleet = WarmingFleet(seed, proxies, ENDPOINTS, load, controllers, admission=admission)
+    names = sorted(fleet.endpoints)
+    draw.shuffle(names)
+    draw.uniform(15.0, 40.0)
+    fleet.release(24.9, names[: draw.choice([15, 25, 30])], draw.choice([3, 5, 6, 10]), GROUP_INTERVAL_S)
+    killed_s = 24.9 + draw.uniform(-4.0, 20.0)
+    for index in range(controllers):
+        fleet.restart_controller(killed_s, index)
+    overloaded = fleet.run(LENGTH_S)
+    assert not overloaded, f"time, endpoint, age, multiple: {overloaded}"
