Limit the memory for messages that have arrived in part

Cause: each connection may hold a message of 1 MiB that is not complete; nothing limited all of them together.

--- a/quillstep/net/codec.py
+++ b/quillstep/net/codec.py
@@ -17,11 +17,16 @@
     Attributes:
         is_registered: Whether the peer has identified itself or opened a stream; until then it may be evicted.
         unsent_bytes: Size of the queued messages.
+        buffered_bytes: Size of the received bytes that do not complete a message yet.
     """
 
     is_registered: bool
     unsent_bytes: int
 
+    @property
+    def buffered_bytes(self) -> int:
+        """See the class."""
+
     def receive(self, data: bytes) -> list[EventT]:
         """Return the events that these bytes complete.
 
--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -23,6 +23,7 @@
 from quillstep.net.errors import is_out_of_memory
 from quillstep.net.listener import Listener
 from quillstep.net.log_limit import LogLimiter
+from quillstep.net.receive_budget import ReceiveBudget
 from quillstep.net.wakeup import Wakeup
 
 EventT = TypeVar("EventT")
@@ -82,6 +83,7 @@
         self.stopping = threading.Event()
         self.accepted = 0
         self.last_maintenance_ms = now_ms()
+        self.receive_budget: ReceiveBudget[Connection[CodecT]] = ReceiveBudget()
         self.is_poll_failing = False
         self.suspension_log_limiter = LogLimiter(SUSPENSION_LOG_INTERVAL_MS)
         self.io_cpu_s = 0.0  # processor time spent on sockets and streams
@@ -257,6 +259,9 @@
         connection.last_received_ms = now_ms()
         with connection.lock:
             events = connection.codec.receive(data)
+        self.receive_budget.update(connection, connection.codec)
+        while largest := self.receive_budget.connection_over_budget():
+            self.close_now(largest, "incomplete messages: memory limit reached")
         for event in events:
             self.on_event(connection, event)
         if events:
@@ -327,6 +332,7 @@
             connection.is_closed = True
         self.connections.pop(connection.sock.fileno(), None)
         self.unregistered.pop(connection.sock.fileno(), None)
+        self.receive_budget.release(connection)
         with contextlib.suppress(KeyError, OSError, ValueError):
             self.poll.unregister(connection.sock)
         with contextlib.suppress(OSError):
--- a/quillstep/platform/protocol/codec.py
+++ b/quillstep/platform/protocol/codec.py
@@ -49,6 +49,11 @@
         self.outgoing: list[bytes] = []
         self.is_broken = False
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete message that has been received."""
+        return len(self.buffer)
+
     def receive(self, data: bytes) -> list[MessageEvent]:
         """Decode received bytes; return the complete messages, followed by `StreamBroken` if the rest is malformed.
 
--- a/quillstep/xds/http2.py
+++ b/quillstep/xds/http2.py
@@ -103,6 +103,11 @@
 
     # Receiving
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete messages that have been received on all streams."""
+        return sum(len(decoder.buffered) for decoder in self.decoders.values())
+
     def receive(self, data: bytes) -> list[Event]:
         """Returns the events that are completed by `data`.
 
