--- a/quillstep/net/poller.py
+++ b/quillstep/net/poller.py
@@ -259,14 +259,15 @@
         connection.last_received_ms = now_ms()
         with connection.lock:
             events = connection.codec.receive(data)
-        self.receive_budget.update(connection, connection.codec)
-        while largest := self.receive_budget.connection_over_budget():
-            self.close_now(largest, "incomplete messages: memory limit reached")
         for event in events:
             self.on_event(connection, event)
         if events:
             connection.message_budget -= len(events)
             self._update_registration(connection)
+        if not connection.is_closed:
+            self.receive_budget.update(connection, connection.codec)
+        while largest := self.receive_budget.connection_over_budget():
+            self.close_now(largest, "incomplete messages: memory limit reached")
 
     def update_scheduled(self) -> None:
         """Update all scheduled connections."""
