Log how long drains wait for their ejection, and what holds them back

Change: "ejections held back" (reason, endpoints, time waited, lines queued, margin left of the grace) and "endpoints ejected" on both controllers, from when an endpoint was told to have left service.

--- a/quillstep/controller/decision_log.py
+++ b/quillstep/controller/decision_log.py
@@ -1,12 +1,14 @@
-"""Logs the planner's decisions on admission and on warming endpoints, with the beliefs behind them."""
+"""Logs the planner's decisions on admission, warming endpoints and ejections, with the beliefs behind them."""
 
 from typing import Any, NamedTuple
 
 import structlog
 
 from quillstep.planner.calendar import HoldBackReason
+from quillstep.planner.messages import EndpointId
 from quillstep.planner.outliers import is_in_use
 from quillstep.planner.planner import Planner
+from quillstep.planner.publishing import HoldReason
 from quillstep.planner.state import PublishedAdmission
 
 PublishedLimits = dict[tuple[int, int], PublishedAdmission]  # by table and class
@@ -20,6 +22,13 @@
     with_other_tables: int
 
 
+class HeldEjections(NamedTuple):
+    """How many endpoints are draining or gone and not ejected yet, and why."""
+
+    endpoints: int
+    reason: HoldReason | None
+
+
 class DecisionLog:
     """Writes one line for each change of a decision; used by the deciding thread only.
 
@@ -32,12 +41,15 @@
         self._limits: PublishedLimits = {}
         self._hold_back_reason: HoldBackReason | None = None
         self._assigned: AssignedProxies | None = None
+        self._ejected: set[EndpointId] = set()  # draining or gone, and ejected
+        self._held = HeldEjections(0, None)
 
     def record(self) -> None:
         """Log the decisions that the last control interval changed; call after the planner has run."""
         self._record_limits()
         self._record_hold_back()
         self._record_assignments()
+        self._record_ejections()
 
     def _record_limits(self) -> None:
         limits = {
@@ -70,6 +82,42 @@
             self._assigned = assigned
             self.log.info("tables assigned", **assigned._asdict())
 
+    def _record_ejections(self) -> None:
+        """Log ejections of draining and lost endpoints: how long they waited, what held them back, and the margin."""
+        leaving = {
+            id_: state for id_, state in self.planner.fleet.endpoints.items() if state.left_service_ms is not None
+        }
+        ejected = {id_ for id_, state in leaving.items() if state.is_ejected}
+        if new := ejected - self._ejected:
+            since_ms = min(leaving[id_].left_service_ms or 0.0 for id_ in new)
+            self.log.info("endpoints ejected", endpoints=len(new), **self._channel(since_ms))
+        self._ejected = ejected
+        waiting = [state.left_service_ms or 0.0 for state in leaving.values() if state.awaits_ejection]
+        held = HeldEjections(len(waiting), self.planner.publisher.hold_reason)
+        if held != self._held and waiting:
+            reason = held.reason.value if held.reason else None
+            self.log.info("ejections held back", endpoints=len(waiting), reason=reason, **self._channel(min(waiting)))
+        self._held = held
+
+    def _channel(self, since_ms: float) -> dict[str, Any]:
+        """Return what is queued, and the time left for ejections that have been due since then.
+
+        `margin_ms` is what remains of the drain grace once all that is queued has been sent and has taken effect.
+        """
+        planner = self.planner
+        config, budget = planner.config, planner.budget
+        waited_ms = planner.fleet.now_ms - since_ms
+        queue_ms = 1000.0 * budget.unproven_lines / config.channel_lines_per_s if config.channel_lines_per_s else 0.0
+        margin_ms = config.drain_grace_ms - waited_ms - queue_ms - config.max_update_delay_ms
+        return {
+            "waited_ms": round(waited_ms),
+            "margin_ms": round(margin_ms),
+            "queued_lines": round(budget.queued_lines),
+            "unproven_lines": round(budget.unproven_lines),
+            "proxies": len(planner.fleet.proxies),
+            "awaiting_calendar": sum(not proxy.has_calendar for proxy in planner.fleet.proxies.values()),
+        }
+
     def _beliefs(self) -> dict[str, Any]:
         planner = self.planner
         capacity, admission = planner.capacity, planner.admission
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -5,6 +5,7 @@
 MIN_RELATIVE_CHANGE.
 """
 
+from enum import Enum
 from typing import NamedTuple
 
 from quillstep.planner.admission_updates import AdmissionUpdates
@@ -24,6 +25,15 @@
 MAX_OVERTAKEN_MS = 3 * MAX_WAIT_MS  # changes that have waited for longer are not overtaken by larger ones
 
 
+class HoldReason(Enum):
+    """Why urgent changes were not published in a pass."""
+
+    CONGESTED = "the queue is too long for any change"
+    MESSAGE_GAP = "messages to all proxies are spaced out"
+    NO_ROOM_FOR_HEADS = "the channel has no room for the heads of messages to all proxies"
+    NO_ROOM_FOR_CHANGE = "the channel has no room for the change"
+
+
 class SubsetAssignments(NamedTuple):
     """How many proxies were assigned a subset, and how many still wait for one."""
 
@@ -32,7 +42,11 @@
 
 
 class Publisher:
-    """Publishes changes and assigns tables within the update budget."""
+    """Publishes changes and assigns tables within the update budget.
+
+    Attributes:
+        hold_reason: Why urgent changes still wait after the last pass; None if none do.
+    """
 
     def __init__(self, fleet: FleetState, calendar: Calendar, budget: UpdateBudget, assigner: TableAssigner) -> None:
         self.fleet, self.budget, self.assigner = fleet, budget, assigner
@@ -42,6 +56,7 @@
         self.admission_updates = AdmissionUpdates(fleet, budget, self.overdue)
         self._waiting_since_ms: dict[EndpointId, float] = {}  # changes that were due and did not fit
         self._retry_ms = self._published_ms = float("-inf")
+        self.hold_reason: HoldReason | None = None
 
     def publish(self, now_ms: float, is_interval_due: bool, output: PlannerOutput) -> None:
         """Writes all due updates that fit the budget, and requests acks for them."""
@@ -56,11 +71,8 @@
         else:
             overdue.reserve(now_ms, may_remove=has_calendar)
         # Messages to all proxies are spaced out: failures that arrive one by one must not use up the message limit.
-        may_message_all = (
-            not budget.is_congested()
-            and now_ms >= self._published_ms + budget.min_message_gap_ms
-            and budget.fits_limit(self._fixed_lines())
-        )
+        hold_reason = self._reason_to_message_none(now_ms)
+        may_message_all = hold_reason is None
         written_before = budget.written_lines
         subsets = self._assign_subsets(now_ms, without_endpoint, output)
         messages = subsets.assigned
@@ -81,6 +93,8 @@
             messages += self.oversized.move(output)
         if not is_removal_overdue:
             messages += self._assign_calendar(now_ms, subsets, output)
+        is_held = fleet.has_urgent_change
+        self.hold_reason = (hold_reason or HoldReason.NO_ROOM_FOR_CHANGE) if is_held else None
         self._schedule_retry(now_ms, output)
         if messages:
             budget.request_ack(written_before, messages, output)
@@ -109,6 +123,16 @@
         overdue.record(UpdateKind.CALENDAR, now_ms, assigned > 0, is_waiting)
         return assigned
 
+    def _reason_to_message_none(self, now_ms: float) -> HoldReason | None:
+        """Returns why no change may be sent to all proxies in this pass; None if changes may be sent."""
+        if self.budget.is_congested():
+            return HoldReason.CONGESTED
+        if now_ms < self._published_ms + self.budget.min_message_gap_ms:
+            return HoldReason.MESSAGE_GAP
+        if not self.budget.fits_limit(self._fixed_lines()):
+            return HoldReason.NO_ROOM_FOR_HEADS
+        return None
+
     def _fixed_lines(self) -> float:
         """Returns the lines of messages to all proxies besides those of changes: heads and ack requests."""
         proxies = len(self.fleet.proxies)
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -72,6 +72,19 @@
     published_slots: dict[int, int] = field(default_factory=dict)  # by table number
     is_ejected: bool = False  # ejected from all tables of the proxies
     delisted_ms: float | None = None  # when it left the endpoint list, or was listed as terminated
+    left_service_ms: float | None = None  # since when it has been draining or gone; the drain grace runs from then on
+
+    def record_service(self, now_ms: float) -> None:
+        """Records since when the endpoint has not been in service; called after each change of `is_in_service`."""
+        if self.is_in_service:
+            self.left_service_ms = None
+        elif self.left_service_ms is None:
+            self.left_service_ms = now_ms
+
+    @property
+    def awaits_ejection(self) -> bool:
+        """Whether the endpoint is draining or gone, and its ejection has not been published."""
+        return not self.is_in_service and not self.is_ejected
 
 
 @dataclass(slots=True)
@@ -137,6 +150,7 @@
             if endpoint not in listed and state.delisted_ms is None:
                 self.has_urgent_change |= state.is_in_service
                 state.is_in_service, state.delisted_ms = False, now_ms
+                state.record_service(now_ms)
 
     def _apply_entry(self, entry: EndpointEntry, now_ms: float) -> None:
         state = self.endpoints.get(entry.endpoint)
@@ -147,6 +161,7 @@
         self.has_urgent_change |= state.is_in_service and not is_in_service
         state.is_in_service, state.listed_weight = is_in_service, entry.weight
         state.delisted_ms = now_ms if entry.state == "terminated" else None
+        state.record_service(now_ms)
 
     def _restarted(self, entry: EndpointEntry, before: EndpointState | None) -> EndpointState:
         """Returns the state of an endpoint that was added or restarted.
--- a/tests/controller/test_decision_log.py
+++ b/tests/controller/test_decision_log.py
@@ -23,3 +23,21 @@
     limits = [line for line in logs if line["event"] == "admission limits"][-1]
     assert held_back["reason"] == "the fleet is loaded or slow" and held_back["reason_before"] is None
     assert limits["admitted_fraction"] < 1.0 and limits["fleet_utilization"] > 0.85 and limits["capacity_per_proxy"]
+
+
+def test_the_log_tells_how_long_a_drain_waited_and_what_held_it_back():
+    harness = PlannerHarness(planner_config(), [entry(f"s{number}") for number in range(4)], proxies=20)
+    harness.settle()
+    harness.budget.written_lines += 4990.0
+    with capture_logs() as logs:
+        log = DecisionLog(harness.planner)
+        harness.observe(after=10.0, endpoint_lists=[("partial", [entry("s0", state="terminating")])])
+        log.record()
+        harness.observe(after=60_000.0)
+        log.record()
+        log.record()
+    held_back, ejected = (line for line in logs if "eject" in line["event"])
+    assert held_back["event"] == "ejections held back" and held_back["reason"] == "the queue is too long for any change"
+    assert (held_back["endpoints"], held_back["waited_ms"], held_back["proxies"]) == (1, 0, 20)
+    assert held_back["margin_ms"] == round(3000.0 - 800.0 - held_back["unproven_lines"] / 3.0)
+    assert ejected["event"] == "endpoints ejected" and ejected["waited_ms"] == 60_000
