Publish a release in one message to each proxy, or in the fewest lots

Cause: urgent changes went out endpoint by endpoint, as many as the channel had room for, and each further lot paid the heads of messages to all proxies again (440 x 7 = 3,080 lines). Now urgent changes that fit the channel together wait until they do, at any length of the queue; a lot goes out earlier only if no more lots are needed for it, or if its heads cost less than the channel would stand still. Nothing but limits that fall, and subsets, passes an urgent change that waits; recipients are counted exactly. Why it works: the lines of a release are then those of its endpoints plus the fewest heads that the queue's limit allows. Four of the five cases of tests/planner/test_drains.py failed before (the fifth guards small fleets, and passed).

--- a/quillstep/planner/admission_updates.py
+++ b/quillstep/planner/admission_updates.py
@@ -6,6 +6,7 @@
 from quillstep.planner.overdue_updates import OverdueUpdates, UpdateKind
 from quillstep.planner.state import CalendarTable, FleetState, PublishedAdmission
 from quillstep.planner.update_budget import UpdateBudget
+from quillstep.planner.urgent_updates import UrgentLines
 
 NOT_PUBLISHED = PublishedAdmission(0.0, -1)
 
@@ -22,17 +23,19 @@
         self.waiting_since_ms: dict[tuple[int, int], float] = {}
 
     def publish(
-        self, now_ms: float, written: WrittenUpdates, fixed_lines: float, urgent_lines: int, output: PlannerOutput
+        self, now_ms: float, written: WrittenUpdates, fixed_lines: float, urgent: UrgentLines, output: PlannerOutput
     ) -> None:
         """Writes the changed limits and retry policies that fit the channel.
 
         The classes of a table are published together; one by one, beside an urgent change, if together they never fit.
+        Only limits that fall precede urgent changes which do not fit beside them: ejections move load to other
+        endpoints, which the limits protect.
 
         Args:
             now_ms: Time of the control interval.
             written: The updates written so far; the limits are added.
             fixed_lines: Lines of the heads and ack requests of messages to all proxies.
-            urgent_lines: Lines of the first urgent change, which is written after the limits.
+            urgent: Lines of the urgent changes, which are written after the limits.
             output: Receives the limits.
         """
         is_allowed = self.overdue.allows(UpdateKind.ADMISSION)
@@ -45,13 +48,15 @@
             if not self.budget.fits_empty_channel(fixed_lines + table_lines):
                 too_long += changed
                 continue
-            if not users or (is_allowed and self.budget.fits_limit(fixed_lines + written.lines + table_lines)):
+            is_lowered = any(self._is_lowered(table, index) for _, index in changed)
+            lines = written.lines + table_lines + (0.0 if is_lowered else urgent.all)
+            if not users or (is_allowed and self.budget.fits_limit(fixed_lines + lines)):
                 self._write(changed, written, output)
             else:
                 waiting |= {(table.number, index) for _, index in changed}
         since_ms = self.waiting_since_ms
         for table, index in sorted(too_long, key=lambda row: since_ms.get((row[0].number, row[1]), now_ms)):
-            lines = written.lines + written.audience.table_users[table.number] + urgent_lines
+            lines = written.lines + written.audience.table_users[table.number] + urgent.first
             if is_allowed and self.budget.fits_limit(fixed_lines + lines):
                 self._write([(table, index)], written, output)
             else:
@@ -79,6 +84,12 @@
                 changed.append(index)
         return changed
 
+    def _is_lowered(self, table: CalendarTable, index: int) -> bool:
+        """Whether the limit of a class is lower than the published one, or the first one of a table."""
+        state = self.fleet.classes[index]
+        published = state.published.get(table.number)
+        return published is None or state.admission_limit < published.limit
+
     def _write(self, changed: list[tuple[CalendarTable, int]], written: WrittenUpdates, output: PlannerOutput) -> None:
         """Writes the limits and retry policies of classes in tables."""
         for table, index in changed:
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -19,6 +19,7 @@
 from quillstep.planner.oversized_fleet import OversizedFleet
 from quillstep.planner.state import CONTROL_INTERVAL_MS, FleetState
 from quillstep.planner.update_budget import UpdateBudget
+from quillstep.planner.urgent_updates import UrgentLines, UrgentUpdates
 
 URGENT_TIMER = 2  # token of the timer for changes that could not be published at once
 URGENT_RETRY_MS = 0.2 * CONTROL_INTERVAL_MS
@@ -52,6 +53,7 @@
         self.fleet, self.budget, self.assigner = fleet, budget, assigner
         self.changes = EndpointChanges(fleet, calendar)
         self.oversized = OversizedFleet(fleet, budget, assigner)
+        self.urgent = UrgentUpdates(fleet, budget)
         self.overdue = OverdueUpdates()
         self.admission_updates = AdmissionUpdates(fleet, budget, self.overdue)
         self._waiting_since_ms: dict[EndpointId, float] = {}  # changes that were due and did not fit
@@ -72,7 +74,7 @@
             overdue.reserve(now_ms, may_remove=has_calendar)
         # Messages to all proxies are spaced out: failures that arrive one by one must not use up the message limit.
         hold_reason = self._reason_to_message_none(now_ms)
-        may_message_all = hold_reason is None
+        may_message_all = hold_reason is None or (fleet.has_urgent_change and self._may_publish_urgent(hold_reason))
         written_before = budget.written_lines
         subsets = self._assign_subsets(now_ms, without_endpoint, output)
         messages = subsets.assigned
@@ -84,7 +86,9 @@
         if has_changes and may_message_all:
             fleet.has_urgent_change = False
             subsets_pending = subsets.pending > 0 and overdue.allows(UpdateKind.SUBSET)
-            published = self.publish_changes(now_ms, is_interval_due, subsets_pending, output)
+            published = self.publish_changes(
+                now_ms, is_interval_due, subsets_pending, output, may_publish_others=hold_reason is None
+            )
             self._published_ms = now_ms if published else self._published_ms
             messages += published
         elif is_interval_due or self.oversized.is_oversized():
@@ -133,6 +137,10 @@
             return HoldReason.NO_ROOM_FOR_HEADS
         return None
 
+    def _may_publish_urgent(self, hold_reason: HoldReason) -> bool:
+        """Whether urgent changes may be sent although others may not; they are then held to their own limits."""
+        return hold_reason is not HoldReason.MESSAGE_GAP and not self.oversized.is_oversized()
+
     def _fixed_lines(self) -> float:
         """Returns the lines of messages to all proxies besides those of changes: heads and ack requests."""
         proxies = len(self.fleet.proxies)
@@ -149,15 +157,24 @@
             output.set_timer(URGENT_TIMER, self._retry_ms)
 
     def publish_changes(
-        self, now_ms: float, is_interval_due: bool, subsets_pending: bool, output: PlannerOutput
+        self,
+        now_ms: float,
+        is_interval_due: bool,
+        subsets_pending: bool,
+        output: PlannerOutput,
+        *,
+        may_publish_others: bool = True,
     ) -> int:
         """Writes the differences between the wanted and the published state.
 
+        While an urgent change waits for room in the channel, no other change takes it.
+
         Args:
             now_ms: Time of the control interval.
             is_interval_due: Whether to publish ordinary changes as well as urgent ones.
             subsets_pending: Whether subsets wait for the channel; other updates then get less of it.
             output: Receives the changes.
+            may_publish_others: Whether changes that are not urgent may be published.
 
         Returns:
             The number of messages.
@@ -167,9 +184,16 @@
         due = sorted(
             self.changes.due(now_ms, audience.is_oversized), key=lambda change: self._publishing_order(change, now_ms)
         )
-        urgent_lines = self._urgent_lines(due, audience)
-        self.admission_updates.publish(now_ms, written, self._fixed_lines(), urgent_lines, output)
         limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending))
+        urgent = self._whole_urgent_changes(due, audience)
+        if may_publish_others:
+            urgent_lines = self._urgent_lines(due, urgent, audience)
+            self.admission_updates.publish(now_ms, written, self._fixed_lines(), urgent_lines, output)
+        else:
+            self.admission_updates.record_waiting(now_ms)
+        selected = self.urgent.select(urgent, written, limits.max_urgent_lines)
+        held = {change.endpoint for change in urgent} - selected
+        may_publish_others = may_publish_others and (not held or self.overdue.is_overdue(UpdateKind.URGENT, now_ms))
         published: set[UpdateKind] = set()
         waiting: dict[EndpointId, UpdateKind] = {}
         for change in due:
@@ -178,9 +202,11 @@
             for part in limits.parts_to_publish(change, state, written.lines, precedence):
                 cost = audience.line_cost(part, state)
                 precedence = self._precedence(change, published, now_ms)
-                is_due = is_interval_due or precedence is not Precedence.NONE or change.kind is UpdateKind.URGENT
-                may_publish = is_due and self.overdue.allows(change.kind)
-                if cost and not (may_publish and limits.fits(part, state, written.lines, precedence)):
+                is_urgent = change.kind is UpdateKind.URGENT
+                is_due = is_urgent or (may_publish_others and (is_interval_due or precedence is not Precedence.NONE))
+                may_publish = is_due and self.overdue.allows(change.kind) and change.endpoint not in held
+                is_selected = change.endpoint in selected
+                if cost and not (may_publish and (is_selected or limits.fits(part, state, written.lines, precedence))):
                     waiting[change.endpoint] = change.kind
                     break
                 written.add_change(part, state)
@@ -192,6 +218,13 @@
         self.budget.written_lines += written.lines + self.budget.lines_per_message * written.messages
         return written.messages
 
+    def _whole_urgent_changes(self, due: list[EndpointChange], audience: Audience) -> list[EndpointChange]:
+        """Returns the urgent changes that fit an empty channel; others are published in parts, or by subsets."""
+        if audience.is_oversized:
+            return []
+        urgent = [change for change in due if change.kind is UpdateKind.URGENT]
+        return [change for change in urgent if self.urgent.fits_empty_channel(change, audience)]
+
     def _publishing_order(self, change: EndpointChange, now_ms: float) -> tuple[int, float]:
         """Returns the key to sort by: urgent changes, changes that have waited for too long, then the others."""
         since_ms = self._waiting_since_ms.get(change.endpoint, now_ms)
@@ -213,11 +246,13 @@
         since_ms = self._waiting_since_ms.get(change.endpoint, now_ms)
         return Precedence.OVERDUE if now_ms - since_ms >= MAX_WAIT_MS else Precedence.NONE
 
-    def _urgent_lines(self, due: list[EndpointChange], audience: Audience) -> int:
-        """Returns the lines of the first urgent change; 0 if there is none."""
-        if not due or due[0].kind is not UpdateKind.URGENT:
-            return 0
-        return audience.line_cost(due[0], self.fleet.endpoints[due[0].endpoint])
+    def _urgent_lines(self, due: list[EndpointChange], urgent: list[EndpointChange], audience: Audience) -> UrgentLines:
+        """Returns the lines of the first of the changes that are due, if it is urgent, and of all whole urgent ones."""
+        endpoints = self.fleet.endpoints
+        is_first_urgent = bool(due) and due[0].kind is UpdateKind.URGENT
+        first_lines = audience.line_cost(due[0], endpoints[due[0].endpoint]) if is_first_urgent else 0
+        all_lines = sum(audience.line_cost(change, endpoints[change.endpoint]) for change in urgent)
+        return UrgentLines(first_lines, all_lines)
 
     def _record_changes(self, now_ms: float, published: set[UpdateKind], waiting: dict[EndpointId, UpdateKind]) -> None:
         """Records which changes were published, and which are still due."""
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -93,11 +93,16 @@
 
         Only lines that acks prove to be sent count as sent here: a channel that is slow or stands still sends no acks.
         """
-        return self.unproven_lines + lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
+        return self.unproven_lines + lines <= self.empty_channel_lines
+
+    @property
+    def empty_channel_lines(self) -> float:
+        """Lines that may be written to the channel while nothing else is queued."""
+        return MAX_QUEUE_FRACTION * self.max_queued_lines
 
     def fits_empty_channel(self, lines: float) -> bool:
         """Whether this many lines fit the limit while nothing else is queued."""
-        return lines <= MAX_QUEUE_FRACTION * self.max_queued_lines
+        return lines <= self.empty_channel_lines
 
     def apply_acks(self, serials: list[int], now_ms: float) -> None:
         """Applies acks, one per proxy and message.
@@ -162,7 +167,7 @@
 
     def max_urgent_lines(self, subsets_pending: bool) -> float:
         """Returns the limit of queued lines for urgent changes; lower while subsets wait for the channel."""
-        return self.ack_delay_lines if subsets_pending else MAX_QUEUE_FRACTION * self.max_queued_lines
+        return self.ack_delay_lines if subsets_pending else self.empty_channel_lines
 
     def fits_ordinary(self, change: OrdinaryUpdate, max_urgent_lines: float, proxies_pending: bool) -> bool:
         """Whether an ordinary change may be queued.
--- /dev/null
+++ b/quillstep/planner/urgent_updates.py
@@ -0,0 +1,98 @@
+"""Which urgent changes are published in a pass: all of them in one message to each proxy, or the fewest lots.
+
+A message to a proxy costs its head, whatever it contains, so a release of many endpoints that goes out in many lots
+takes several times the lines of one that goes out at once.  Urgent changes that do not fit the channel together
+therefore wait until they do, unless the channel would then stand still for longer than another lot's heads take.
+"""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from math import ceil
+from typing import NamedTuple
+
+from quillstep.planner.audience import Audience, WrittenUpdates
+from quillstep.planner.endpoint_changes import EndpointChange
+from quillstep.planner.messages import EndpointId
+from quillstep.planner.state import FleetState
+from quillstep.planner.update_budget import UpdateBudget
+
+
+class UpdateCost(NamedTuple):
+    """The lines of an update over all proxies, and those of them that its messages cost whatever they contain."""
+
+    lines: float  # of the changes
+    head_lines: float  # of message heads and ack requests
+
+    @property
+    def total_lines(self) -> float:
+        """All lines of the update."""
+        return self.lines + self.head_lines
+
+
+class UrgentLines(NamedTuple):
+    """The lines of the urgent changes that are due, over all proxies and without message heads."""
+
+    first: float  # of the first change
+    all: float
+
+
+class UrgentUpdates:
+    """Selects the urgent changes of a pass."""
+
+    def __init__(self, fleet: FleetState, budget: UpdateBudget) -> None:
+        self.fleet, self.budget = fleet, budget
+
+    def fits_empty_channel(self, change: EndpointChange, audience: Audience) -> bool:
+        """Whether a change fits the channel as a whole while nothing else is queued."""
+        [cost] = self._costs([change], WrittenUpdates(audience))
+        return self.budget.fits_empty_channel(cost.total_lines)
+
+    def select(self, changes: Sequence[EndpointChange], written: WrittenUpdates, max_lines: float) -> set[EndpointId]:
+        """Returns the endpoints whose changes are published in this pass.
+
+        Args:
+            changes: All urgent changes that are due, in the order of publishing.
+            written: What the messages of this pass contain already.
+            max_lines: The limit of queued lines for urgent changes.
+        """
+        if not changes:
+            return set()
+        count = self._selected_count(self._costs(changes, written), written, max_lines)
+        return {change.endpoint for change in changes[:count]}
+
+    def _selected_count(self, costs: Sequence[UpdateCost], written: WrittenUpdates, max_lines: float) -> int:
+        """Returns how many changes are published, from the first on, given the costs of the first ones."""
+        fitting = sum(self._fits(cost, max_lines) for cost in costs)
+        are_heads_paid = written.lines > 0
+        if fitting == len(costs) or are_heads_paid or self._is_lot_cheaper(costs[-1]):
+            return fitting
+        changes_per_lot = self._changes_per_lot(costs, max_lines)
+        lots = ceil(len(costs) / changes_per_lot)
+        further_lots = ceil((len(costs) - fitting) / changes_per_lot)
+        return fitting if further_lots < lots else 0
+
+    def _changes_per_lot(self, costs: Sequence[UpdateCost], max_lines: float) -> int:
+        """Returns how many changes of the mean size fit an empty channel; at least one."""
+        lines_per_change = max(1.0, costs[-1].lines / len(costs))
+        room = min(self.budget.empty_channel_lines, max_lines) - costs[-1].head_lines
+        return max(1, int(min(room / lines_per_change, len(costs))))
+
+    def _costs(self, changes: Sequence[EndpointChange], written: WrittenUpdates) -> list[UpdateCost]:
+        """Returns the cost of the first change, of the first two, and so on, each with what is written already."""
+        total = replace(written, tables=set(written.tables))
+        costs = []
+        for change in changes:
+            total.add_change(change, self.fleet.endpoints[change.endpoint])
+            costs.append(UpdateCost(total.lines, (self.budget.lines_per_message + 1) * total.messages))
+        return costs
+
+    def _fits(self, cost: UpdateCost, max_lines: float) -> bool:
+        return self.budget.fits_limit(cost.total_lines) and self.budget.queued_lines + cost.total_lines <= max_lines
+
+    def _is_lot_cheaper(self, cost: UpdateCost) -> bool:
+        """Whether the heads of another lot take the channel less time than it would stand still for one update.
+
+        The channel stands still while the acks that prove it empty enough for the update are on their way.
+        """
+        spare_lines = max(0.0, self.budget.empty_channel_lines - cost.total_lines)
+        return cost.head_lines < self.budget.ack_delay_lines - spare_lines
--- a/tests/fleet_updates.py
+++ b/tests/fleet_updates.py
@@ -214,9 +214,9 @@
 KINDS = ("added", "ejected", "restored", "reweighted", "limited", "assigned", "removed")
 
 
-def settled_fleet(deployment, seed=1, channel_type=ChannelModel):
+def settled_fleet(deployment, seed=1, channel_type=ChannelModel, fleet_type=Fleet):
     """Returns a fleet whose proxies have the calendar, and whose channel is empty."""
-    fleet = Fleet(deployment, seed, channel_type=channel_type)
+    fleet = fleet_type(deployment, seed, channel_type=channel_type)
     waited_s = fleet.wait_until(lambda: fleet.steps > SETTLE_STEPS and fleet.is_settled(), SETTLE_LIMIT_S)
     assert waited_s is not None, "the proxies never got the calendar"
     return fleet
--- /dev/null
+++ b/tests/planner/test_drains.py
@@ -0,0 +1,55 @@
+"""Endpoints that drain are out of use at each proxy within the grace, whatever else the channel carries."""
+
+import pytest
+from drain_fleet import settled_drain_fleet
+from fleet_updates import Deployment
+
+
+def messages_of_ejections(fleet, seconds):
+    """Plays some seconds; returns how many passes ejected endpoints."""
+    written = []
+    enqueue = fleet.channel.enqueue
+
+    def recorded(calls):
+        written.append(sum(call[0] == "set_ejected" and call[2] for call in calls))
+        enqueue(calls)
+
+    fleet.channel.enqueue = recorded
+    fleet.play(seconds)
+    return [ejected for ejected in written if ejected]
+
+
+def write_weights_to_all(fleet):
+    """Fills a part of the channel with an ordinary change to all proxies."""
+    for number, state in fleet.harness.fleet.endpoints.items():
+        state.q_value = 1.0 if number == 0 else 0.5
+    assert fleet.wait_until(lambda: fleet.channel.queue, 5.0) is not None
+
+
+@pytest.mark.parametrize(("proxies", "lines_per_s"), [(400, 3000.0), (330, 2900.0), (430, 3900.0)])
+def test_drains_that_fit_one_message_go_out_in_one_behind_other_updates(proxies, lines_per_s):
+    # Guards against a release that goes out endpoint by endpoint, each with the heads of messages to all proxies.
+    fleet = settled_drain_fleet(Deployment(proxies, 30, lines_per_s, queued_s=1.5, max_ack_delay_ms=750.0))
+    write_weights_to_all(fleet)
+    fleet.drain(4, 9, 14)
+    assert messages_of_ejections(fleet, 10.0) == [3]
+    assert not fleet.late_ms and not fleet.exceeds_limits()
+
+
+def test_a_release_beyond_one_message_goes_out_in_the_fewest():
+    # Guards against lots of ejections that get smaller and smaller, as the channel has room: 24, 8 and 4 of 36.
+    deployment = Deployment(440, 60, 3600.0, queued_s=15400.0 / 3600.0, drain_grace_ms=8000.0, max_ack_delay_ms=1000.0)
+    fleet = settled_drain_fleet(deployment)
+    fleet.drain(*range(36))
+    assert len(messages_of_ejections(fleet, 12.0)) == 2
+    assert not fleet.late_ms and not fleet.exceeds_limits()
+
+
+def test_drains_of_a_small_fleet_do_not_wait_for_the_channel_to_be_empty():
+    # Heads to few proxies cost less than a channel that stands still until acks arrive.
+    deployment = Deployment(20, 60, 680.0, queued_s=1.0, max_ack_delay_ms=1000.0)
+    fleet = settled_drain_fleet(deployment)
+    write_weights_to_all(fleet)
+    fleet.drain(*range(2, 25))
+    assert messages_of_ejections(fleet, 10.0)[0] > 1
+    assert not fleet.late_ms and not fleet.exceeds_limits()
