Move proxies to subsets where no order of ejections keeps a release in its grace

Cause: one message with all ejections is 18,920 lines and 14,322 may wait, so at least two are needed: 22,000 lines, 6.1 s of channel, and a longest delay of 1 s; nothing shorter was ever considered. Now, where the ejections would be late, as many proxies as necessary are moved to subsets of the calendar that lack these endpoints (16 lines each in place of 43), those with the fewest requests first; the others get the ejections in one message, and all get the calendar again. Moved proxies keep the present limits, and hold back no warming endpoint: their tables are this planner's own. Not on xDS: its front sends each ejection to all proxies, so that subsets save nothing there. Two of the four releases and the test of limits in test_drains.py failed before.

--- a/quillstep/planner/assignment.py
+++ b/quillstep/planner/assignment.py
@@ -58,17 +58,51 @@
         """Assigns the calendar to proxies within the budget, in the given order; returns the number of messages."""
         return self._assign(proxies, True, len(self.fleet.endpoints), output)
 
-    def assign_subsets(self, proxies: Iterable[int], output: PlannerOutput) -> int:
-        """Assigns subsets to proxies within the budget, in the given order; returns the number of messages."""
-        return self._assign(proxies, False, self.fleet.config.initial_table_size, output)
+    def assign_subsets(self, proxies: Iterable[int], output: PlannerOutput, *, may_fill_queue: bool = False) -> int:
+        """Assigns subsets to proxies within the budget, in the given order; returns the number of messages.
 
-    def _assign(self, proxies: Iterable[int], is_calendar: bool, expected_lines: int, output: PlannerOutput) -> int:
+        Args:
+            proxies: The proxies, by number.
+            output: Receives the subsets.
+            may_fill_queue: Whether only the channel's limit applies, because a drain waits for these subsets.
+        """
+        return self._assign(proxies, False, self.fleet.config.initial_table_size, output, may_fill_queue)
+
+    def subset_message_lines(self) -> float:
+        """Returns the lines of a message that assigns a subset, with its head and ack request."""
+        table_lines = [1 + len(table.classes) + self._subset_size(table) for table in self.fleet.tables]
+        shared_lines = sum(
+            lines for table, lines in zip(self.fleet.tables, table_lines, strict=True) if table.zone is None
+        )
+        zone_lines = [lines for table, lines in zip(self.fleet.tables, table_lines, strict=True) if table.zone]
+        return self.budget.lines_per_message + 1 + shared_lines + max(zone_lines, default=0)
+
+    def has_subsets(self) -> bool:
+        """Whether each calendar table lists an endpoint in service, so that subsets without the others exist."""
+        return all(self._subset_size(table, in_service_only=True) for table in self.fleet.tables)
+
+    def _subset_size(self, table: CalendarTable, in_service_only: bool = False) -> int:
+        """Returns how many endpoints a subset of a table has; those that `_subset_for` returns for the first proxy."""
+        published = self._published_endpoints(table)
+        if in_service_only:
+            published = [id_ for id_ in published if self.fleet.endpoints[id_].is_in_service]
+        return len(self._subset_for(0, published, self.fleet.ejected_endpoints()))
+
+    def _assign(
+        self,
+        proxies: Iterable[int],
+        is_calendar: bool,
+        expected_lines: int,
+        output: PlannerOutput,
+        may_fill_queue: bool = False,
+    ) -> int:
         budget, ejected, messages = self.budget, self.fleet.ejected_endpoints(), 0
         for number in proxies:
-            if not budget.has_capacity_for_assignment(expected_lines):
+            if not may_fill_queue and not budget.has_capacity_for_assignment(expected_lines):
                 break
             proxy = self.fleet.proxies[number]
             proxy.subsets, proxy.has_calendar = [], is_calendar
+            proxy.has_had_calendar |= is_calendar
             for table in self.fleet.tables:
                 if table.zone not in (None, proxy.zone):
                     continue
@@ -94,7 +128,10 @@
         subset = self._subset_for(number, published, ejected)
         subset_table = FIRST_SUBSET_TABLE + number * (1 + len(self.fleet.config.zones)) + table.number
         self._write_subset(subset_table, subset, table, output)
-        self._write_limits(subset_table, subset, table, output)
+        if self.fleet.proxies[number].has_had_calendar:
+            self._write_present_limits(subset_table, table, output)
+        else:
+            self._write_limits(subset_table, subset, table, output)
         self.fleet.proxies[number].subsets.append(subset)
         output.assign_table(number, subset_table, table.classes)
         return subset
@@ -130,9 +167,15 @@
         has_warm = any(is_warm(fleet.config, fleet.endpoints[id_], fleet.now_ms) for id_ in subset)
         if fleet.config.admission == "none" or (has_warm and subset_table not in self._limited_subsets):
             return
+        self._write_present_limits(subset_table, table, output)
+
+    def _write_present_limits(self, subset_table: int, table: CalendarTable, output: PlannerOutput) -> None:
+        """Writes the present limits and retry policies of the calendar table that a subset is of."""
+        if self.fleet.config.admission == "none":
+            return
         self._limited_subsets.add(subset_table)
         for index in table.classes:
-            state = fleet.classes[index]
+            state = self.fleet.classes[index]
             output.set_admission(subset_table, [index], state.admission_limit, state.retry_policy)
 
 
--- a/quillstep/planner/calendar.py
+++ b/quillstep/planner/calendar.py
@@ -89,7 +89,7 @@
         the calendar, its earlier tables give a warming endpoint its full weight.
         """
         capacity, fleet = self.capacity, self.fleet
-        if not fleet.all_proxies_have_calendar():
+        if fleet.uses_other_tables():
             return HoldBackReason.JOINING
         if fleet.is_settling(now_ms):
             return HoldBackReason.SETTLING
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -13,6 +13,7 @@
 from quillstep.planner.audience import Audience, WrittenUpdates
 from quillstep.planner.calendar import Calendar
 from quillstep.planner.change_limits import ChangeLimits, Precedence
+from quillstep.planner.drain_deadlines import DrainDeadlines
 from quillstep.planner.endpoint_changes import EndpointChange, EndpointChanges
 from quillstep.planner.messages import EndpointId, PlannerOutput
 from quillstep.planner.overdue_updates import MAX_WAIT_MS, OverdueUpdates, UpdateKind
@@ -54,6 +55,7 @@
         self.changes = EndpointChanges(fleet, calendar)
         self.oversized = OversizedFleet(fleet, budget, assigner)
         self.urgent = UrgentUpdates(fleet, budget)
+        self.drain_deadlines = DrainDeadlines(fleet, budget, assigner, self.urgent)
         self.overdue = OverdueUpdates()
         self.admission_updates = AdmissionUpdates(fleet, budget, self.overdue)
         self._waiting_since_ms: dict[EndpointId, float] = {}  # changes that were due and did not fit
@@ -186,6 +188,11 @@
         )
         limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending))
         urgent = self._whole_urgent_changes(due, audience)
+        moved = self.drain_deadlines.move_proxies(urgent, audience, now_ms, output)
+        if moved:
+            audience = Audience.of(self.fleet)
+            written = WrittenUpdates(audience)
+            limits = ChangeLimits(self.budget, audience, limits.max_urgent_lines)
         if may_publish_others:
             urgent_lines = self._urgent_lines(due, urgent, audience)
             self.admission_updates.publish(now_ms, written, self._fixed_lines(), urgent_lines, output)
@@ -216,7 +223,7 @@
         self._record_changes(now_ms, published, waiting)
         self._update_oversized(now_ms, [change for change in due if change.endpoint in waiting])
         self.budget.written_lines += written.lines + self.budget.lines_per_message * written.messages
-        return written.messages
+        return moved + written.messages
 
     def _whole_urgent_changes(self, due: list[EndpointChange], audience: Audience) -> list[EndpointChange]:
         """Returns the urgent changes that fit an empty channel; others are published in parts, or by subsets."""
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -96,6 +96,7 @@
     joined_ms: float
     subsets: list[list[EndpointId]] = field(default_factory=list)  # endpoints of each assigned subset
     has_calendar: bool = False
+    has_had_calendar: bool = False  # since it joined; no other controller's tables are in use there any more
     has_reported: bool = False
 
 
@@ -245,6 +246,14 @@
         """Whether all joined proxies have been assigned the calendar."""
         return all(proxy.has_calendar for proxy in self.proxies.values())
 
+    def uses_other_tables(self) -> bool:
+        """Whether a joined proxy may still use tables that this planner did not assign."""
+        return not all(proxy.has_had_calendar for proxy in self.proxies.values())
+
+    def awaits_ejection(self) -> bool:
+        """Whether an endpoint is draining or gone, and its ejection has not been published."""
+        return any(endpoint.awaits_ejection for endpoint in self.endpoints.values())
+
     def has_recent_migration(self, now_ms: float) -> bool:
         """Whether a proxy migrated from another controller so recently that reports do not reflect it yet."""
         return now_ms - self.last_migration_ms < SETTLING_INTERVALS * CONTROL_INTERVAL_MS
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -65,6 +65,7 @@
 
     def __init__(self, config: PlannerConfig) -> None:
         self.lines_per_message = config.lines_per_message
+        self.rate_lines_per_ms = config.channel_lines_per_s / 1000.0  # configured; 0 if it is not
         self.written_lines = self.sent_lines = 0.0
         self.in_flight: dict[int, InFlightUpdate] = {}  # by serial of the requested ack
         self._acked_lines = 0.0  # lines sent as of the newest ack, at `_acked_ms`
--- a/quillstep/planner/urgent_updates.py
+++ b/quillstep/planner/urgent_updates.py
@@ -16,6 +16,8 @@
 from quillstep.planner.state import FleetState
 from quillstep.planner.update_budget import UpdateBudget
 
+EXPECTED_DELAY_FRACTION = 0.5  # how long an ack takes as a rule, divided by the longest delay of an update
+
 
 class UpdateCost(NamedTuple):
     """The lines of an update over all proxies, and those of them that its messages cost whatever they contain."""
@@ -42,10 +44,17 @@
     def __init__(self, fleet: FleetState, budget: UpdateBudget) -> None:
         self.fleet, self.budget = fleet, budget
 
+    def cost(self, changes: Sequence[EndpointChange], audience: Audience) -> UpdateCost:
+        """Returns what one message with all these changes costs; there is at least one."""
+        return self._costs(changes, WrittenUpdates(audience))[-1]
+
+    def fewest_lots(self, changes: int, cost: UpdateCost, max_lines: float = float("inf")) -> int:
+        """Returns the fewest updates that so many changes take, if each fits an empty channel and the given limit."""
+        return ceil(changes / self._changes_per_lot(changes, cost, max_lines))
+
     def fits_empty_channel(self, change: EndpointChange, audience: Audience) -> bool:
         """Whether a change fits the channel as a whole while nothing else is queued."""
-        [cost] = self._costs([change], WrittenUpdates(audience))
-        return self.budget.fits_empty_channel(cost.total_lines)
+        return self.budget.fits_empty_channel(self.cost([change], audience).total_lines)
 
     def select(self, changes: Sequence[EndpointChange], written: WrittenUpdates, max_lines: float) -> set[EndpointId]:
         """Returns the endpoints whose changes are published in this pass.
@@ -66,16 +75,15 @@
         are_heads_paid = written.lines > 0
         if fitting == len(costs) or are_heads_paid or self._is_lot_cheaper(costs[-1]):
             return fitting
-        changes_per_lot = self._changes_per_lot(costs, max_lines)
-        lots = ceil(len(costs) / changes_per_lot)
+        changes_per_lot = self._changes_per_lot(len(costs), costs[-1], max_lines)
         further_lots = ceil((len(costs) - fitting) / changes_per_lot)
-        return fitting if further_lots < lots else 0
+        return fitting if further_lots < self.fewest_lots(len(costs), costs[-1], max_lines) else 0
 
-    def _changes_per_lot(self, costs: Sequence[UpdateCost], max_lines: float) -> int:
+    def _changes_per_lot(self, changes: int, cost: UpdateCost, max_lines: float) -> int:
         """Returns how many changes of the mean size fit an empty channel; at least one."""
-        lines_per_change = max(1.0, costs[-1].lines / len(costs))
-        room = min(self.budget.empty_channel_lines, max_lines) - costs[-1].head_lines
-        return max(1, int(min(room / lines_per_change, len(costs))))
+        lines_per_change = max(1.0, cost.lines / changes)
+        room = min(self.budget.empty_channel_lines, max_lines) - cost.head_lines
+        return max(1, int(min(room / lines_per_change, changes)))
 
     def _costs(self, changes: Sequence[EndpointChange], written: WrittenUpdates) -> list[UpdateCost]:
         """Returns the cost of the first change, of the first two, and so on, each with what is written already."""
@@ -95,4 +103,4 @@
         The channel stands still while the acks that prove it empty enough for the update are on their way.
         """
         spare_lines = max(0.0, self.budget.empty_channel_lines - cost.total_lines)
-        return cost.head_lines < self.budget.ack_delay_lines - spare_lines
+        return cost.head_lines < EXPECTED_DELAY_FRACTION * self.budget.ack_delay_lines - spare_lines
--- a/tests/planner/test_drains.py
+++ b/tests/planner/test_drains.py
@@ -4,6 +4,9 @@
 from drain_fleet import settled_drain_fleet
 from fleet_updates import Deployment
 
+from quillstep.planner.assignment import FIRST_SUBSET_TABLE
+from quillstep.planner.calendar import HoldBackReason
+
 
 def messages_of_ejections(fleet, seconds):
     """Plays some seconds; returns how many passes ejected endpoints."""
@@ -53,3 +56,50 @@
     fleet.drain(*range(2, 25))
     assert messages_of_ejections(fleet, 10.0)[0] > 1
     assert not fleet.late_ms and not fleet.exceeds_limits()
+
+
+RELEASES = [  # with the number of endpoints that drain
+    (Deployment(440, 60, 3600.0, 15400.0 / 3600.0, drain_grace_ms=6300.0, max_ack_delay_ms=1000.0), 36),
+    (Deployment(400, 30, 3000.0, 1.5, drain_grace_ms=3000.0, max_ack_delay_ms=750.0), 5),
+    (Deployment(300, 90, 2900.0, 1.5, drain_grace_ms=3600.0, max_ack_delay_ms=500.0), 54),
+    (Deployment(440, 80, 3900.0, 4.0, drain_grace_ms=4000.0, max_ack_delay_ms=500.0, has_zone_tables=True), 24),
+]
+
+
+@pytest.mark.parametrize(("deployment", "drained"), RELEASES, ids=str)
+def test_a_release_that_ejections_cannot_complete_in_time_is_kept_within_the_grace(deployment, drained):
+    # Guards against a release whose ejections alone take longer than the grace, however few messages they take.
+    fleet = settled_drain_fleet(deployment)
+    fleet.drain(*range(drained))
+    fleet.play(deployment.drain_grace_ms / 1000.0 + 3.0)
+    assert not fleet.late_ms and not fleet.exceeds_limits()
+    assert fleet.wait_until(fleet.is_settled, 30.0) is not None, "the proxies do not get the calendar again"
+    assert not any(fleet.channel.may_use(proxy, 0) for proxy in range(deployment.proxies))
+
+
+def test_proxies_moved_to_subsets_keep_the_limits_and_hold_back_no_warming_endpoint():
+    # Guards against limits that a move would forget, and against ejections of warming endpoints because of it.
+    deployment, drained = RELEASES[0]
+    fleet = settled_drain_fleet(deployment)
+    fleet.change(*(fleet.entry(1000 + number, started=fleet.harness.now_ms) for number in range(drained)))
+    fleet.play(8.0)
+    planner = fleet.harness.planner
+    planner.calendar.hold_back_reason = None
+    fleet.drain(*range(drained))
+    calls = []
+    enqueue = fleet.channel.enqueue
+    fleet.channel.enqueue = lambda written: (calls.extend(written), enqueue(written))
+    fleet.play(1.0)
+    moved = {call[2] for call in calls if call[0] == "assign_table" and call[2] >= FIRST_SUBSET_TABLE}
+    limited = {call[1] for call in calls if call[0] == "set_admission"}
+    assert moved and moved <= limited
+    assert planner.calendar.hold_back_reason is not HoldBackReason.JOINING
+    assert {call[1] for call in calls if call[0] == "set_ejected" and call[2]} <= set(range(drained))
+
+
+def test_a_release_that_ejections_complete_in_time_moves_no_proxy():
+    fleet = settled_drain_fleet(Deployment(100, 30, 3000.0, queued_s=1.5))
+    fleet.drain(*range(12))
+    fleet.play(5.0)
+    assert all(proxy.has_calendar and not proxy.subsets for proxy in fleet.harness.fleet.proxies.values())
+    assert not fleet.late_ms
