Leave the room that an ejection waits for out of what calendars may fill

Cause: calendars refill the channel to 2,250 lines in each pass, and an ejection for 400 proxies fits only below some 1,000 (one endpoint) or 200 lines (three), so it waited for the last calendar. Evidence: "ejections held back" with 2,250 queued lines all the time, "no room for the heads" and "the queue is too long" in turn, for 2.7 and 7.2 s, while awaiting_calendar fell to 0; the ejections left in the pass after that. Now a calendar is assigned only if all ejections that wait still fit behind it, unless none went out for ten intervals. Subsets, which lack such endpoints, go on. Why it works: nothing else refills the queue, so it falls as acks arrive, and the order of all ejections goes out as soon as it fits. Two of the eight cases of test_drains_are_within_the_grace_while_half_of_the_proxies_join failed before.

--- a/quillstep/planner/assignment.py
+++ b/quillstep/planner/assignment.py
@@ -5,7 +5,7 @@
 subset is not updated: it only serves until the calendar is assigned.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from quillstep.planner.capacity import is_warm
 from quillstep.planner.messages import EndpointId, PlannerOutput
@@ -54,9 +54,25 @@
         ]
         return [number for *_, number in sorted(waiting, reverse=True)]
 
-    def assign_calendar(self, proxies: Iterable[int], output: PlannerOutput) -> int:
-        """Assigns the calendar to proxies within the budget, in the given order; returns the number of messages."""
-        return self._assign(proxies, True, len(self.fleet.endpoints), output)
+    def assign_calendar(self, proxies: Iterable[int], output: PlannerOutput, reserved_lines: float = 0.0) -> int:
+        """Assigns the calendar to proxies within the budget, in the given order; returns the number of messages.
+
+        Args:
+            proxies: The proxies, by number.
+            output: Receives the assignments.
+            reserved_lines: Lines of the channel's limit that are left to other updates.
+        """
+        size = len(self.fleet.endpoints)
+        if reserved_lines:
+            proxies = self._while_room_is_left(proxies, size + reserved_lines)
+        return self._assign(proxies, True, size, output)
+
+    def _while_room_is_left(self, proxies: Iterable[int], lines: float) -> Iterator[int]:
+        """Yields proxies as long as so many lines fit the channel."""
+        for number in proxies:
+            if not self.budget.fits_limit(lines):
+                return
+            yield number
 
     def assign_subsets(self, proxies: Iterable[int], output: PlannerOutput, *, may_fill_queue: bool = False) -> int:
         """Assigns subsets to proxies within the budget, in the given order; returns the number of messages.
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -124,11 +124,21 @@
         may_assign = not subsets.pending and (is_overdue or not subsets.assigned) and not self.oversized.is_moving
         assigned = 0
         if may_assign and overdue.allows(UpdateKind.CALENDAR):
-            assigned = self.assigner.assign_calendar(self.assigner.proxies_awaiting_calendar(now_ms), output)
+            # Calendars would refill the channel again and again before an ejection that waits for room fits.
+            reserved_lines = 0.0 if overdue.is_overdue(UpdateKind.CALENDAR, now_ms) else self._ejection_lines()
+            proxies = self.assigner.proxies_awaiting_calendar(now_ms)
+            assigned = self.assigner.assign_calendar(proxies, output, reserved_lines)
         is_waiting = not self.fleet.all_proxies_have_calendar()
         overdue.record(UpdateKind.CALENDAR, now_ms, assigned > 0, is_waiting)
         return assigned
 
+    def _ejection_lines(self) -> float:
+        """Returns the lines that ejections which are not published yet take, in one message to each proxy."""
+        waiting = sum(endpoint.awaits_ejection for endpoint in self.fleet.endpoints.values())
+        if not waiting:
+            return 0.0
+        return len(self.fleet.proxies) * (self.budget.lines_per_message + 1 + waiting)
+
     def _reason_to_message_none(self, now_ms: float) -> HoldReason | None:
         """Returns why no change may be sent to all proxies in this pass; None if changes may be sent."""
         if self.budget.is_congested():
--- a/quillstep/planner/state.py
+++ b/quillstep/planner/state.py
@@ -250,10 +250,6 @@
         """Whether a joined proxy may still use tables that this planner did not assign."""
         return not all(proxy.has_had_calendar for proxy in self.proxies.values())
 
-    def awaits_ejection(self) -> bool:
-        """Whether an endpoint is draining or gone, and its ejection has not been published."""
-        return any(endpoint.awaits_ejection for endpoint in self.endpoints.values())
-
     def has_recent_migration(self, now_ms: float) -> bool:
         """Whether a proxy migrated from another controller so recently that reports do not reflect it yet."""
         return now_ms - self.last_migration_ms < SETTLING_INTERVALS * CONTROL_INTERVAL_MS
--- a/tests/planner/test_drains.py
+++ b/tests/planner/test_drains.py
@@ -103,3 +103,29 @@
     fleet.play(5.0)
     assert all(proxy.has_calendar and not proxy.subsets for proxy in fleet.harness.fleet.proxies.values())
     assert not fleet.late_ms
+
+
+JOINS = [  # with the seconds from the first join to the drains, and the number of drains
+    (Deployment(400, 30, 3000.0, 1.5, max_ack_delay_ms=750.0), 0.5, 3),
+    (Deployment(400, 90, 3900.0, 1.5, max_ack_delay_ms=900.0), 2.0, 2),
+    (Deployment(250, 60, 2900.0, 2.0, max_ack_delay_ms=250.0), 1.0, 4),
+    (Deployment(440, 30, 3500.0, 4.3, drain_grace_ms=5000.0, max_ack_delay_ms=500.0), 3.0, 6),
+]
+
+
+@pytest.mark.parametrize("has_ejected", [False, True], ids=["calendars-only", "subsets-first"])
+@pytest.mark.parametrize(("deployment", "after_s", "drained"), JOINS, ids=str)
+def test_drains_are_within_the_grace_while_half_of_the_proxies_join(deployment, after_s, drained, has_ejected):
+    # Guards against calendars of joining proxies that refill the channel before an ejection fits.
+    fleet = settled_drain_fleet(deployment)
+    if has_ejected:
+        fleet.drain(0)
+        fleet.play(8.0)
+    joining = range(0, deployment.proxies, 2)
+    for step in range(120):
+        fleet.rejoin(*(proxy for index, proxy in enumerate(joining) if index * 14 // len(joining) == step))
+        if step == int(10 * after_s):
+            fleet.drain(*range(4, 4 + drained))
+        fleet.step()
+    assert not fleet.late_ms and not fleet.exceeds_limits()
+    assert fleet.harness.fleet.all_proxies_have_calendar()
