--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -50,14 +50,17 @@
     def enqueue(self, written):
         queued_before = len(self.queue)
         super().enqueue(written)
-        ejections = {call[1] for call in written if call[0] == "set_ejected" and call[2]}
-        ejected = self.harness.fleet.ejected_endpoints()
         for _, _, proxy, _ in self.queue[queued_before:]:
-            tables = set(self.proxy_tables.get(proxy, {}).values())
-            held = set().union(*(self.table_endpoints[table] for table in tables))
-            told = self._last_ejected(proxy) | ejections
-            state = (frozenset(held - ejected), frozenset()) if tables else (None, told)
-            self._written.setdefault(proxy, deque()).append(state)
+            self._written.setdefault(proxy, deque()).append(self.state_after(proxy, written))
+
+    def state_after(self, proxy, written):
+        """Returns a proxy's usable and ejected endpoints once it has applied what was just written."""
+        tables = set(self.proxy_tables.get(proxy, {}).values())
+        if not tables:
+            ejections = {call[1] for call in written if call[0] == "set_ejected" and call[2]}
+            return None, self._last_ejected(proxy) | ejections
+        held = set().union(*(self.table_endpoints[table] for table in tables))
+        return frozenset(held - self.harness.fleet.ejected_endpoints()), frozenset()
 
     def _last_ejected(self, proxy):
         waiting = self._written.get(proxy)
@@ -121,6 +124,6 @@
         return max(self.late_ms.values(), default=0.0)
 
 
-def settled_drain_fleet(deployment, seed=1):
+def settled_drain_fleet(deployment, seed=1, channel_type=DeliveryChannel):
     """Returns a fleet whose proxies have the calendar, and whose channel is empty."""
-    return settled_fleet(deployment, seed, channel_type=DeliveryChannel, fleet_type=DrainFleet)
+    return settled_fleet(deployment, seed, channel_type=channel_type, fleet_type=DrainFleet)
