Count the lines of ejections that the xDS front sends to proxies with subsets

Callers on xDS: beside joins, more lines are queued than the channel's limit allows (816 of 750 at 60 proxies, trial on; 900 since urgent changes pass a long queue). Cause: the front sends each ejection to all proxies, but the planner counted only those with the calendar, with tables of others, or with a subset that lists the endpoint.

--- a/quillstep/planner/audience.py
+++ b/quillstep/planner/audience.py
@@ -74,8 +74,8 @@
 
     def ejection_recipients(self, change: EndpointChange, state: EndpointState) -> int:
         """Returns how many proxies get an ejection or restoration; a table without the endpoint needs none."""
-        counts_all = self.ejections_reach_all if self.is_oversized else not change.is_ejected
-        if counts_all:
+        is_counted_for_all = not change.is_ejected and not self.is_oversized
+        if self.ejections_reach_all or is_counted_for_all:
             return self.joined
         calendar_users = self.with_calendar if self.reaches_calendar_users(change, state) else 0
         subset_users = self.subset_users[change.endpoint] if change.is_ejected else 0
--- a/tests/controller/test_update_progress.py
+++ b/tests/controller/test_update_progress.py
@@ -180,3 +180,18 @@
     # Guards against changes that a pinned table never sends but whose lines count as queued, so that no rollback fits.
     deployment = Deployment(15, 16, 74.0, 171.0, lines_per_message=6.0, drain_grace_ms=5000.0, max_messages=0)
     check_progress(deployment, 39, "rolled_back", "weights")
+
+
+@pytest.mark.parametrize(("proxies", "drained"), [(60, 3), (40, 6)])
+def test_ejections_beside_joins_keep_the_limit_of_the_channel(proxies, drained):
+    # Guards against ejections whose lines at proxies with subsets are not counted: this front sends them to all.
+    deployment = Deployment(proxies, 20, 8.0 * proxies, 12.5 * proxies, lines_per_message=6.0)
+    xds_fleet = XdsFleet(deployment, 1)
+    assert xds_fleet.wait_until(xds_fleet.is_settled) and xds_fleet.wait_until(lambda: xds_fleet.lists(1), 20.0)
+    for number in range(0, proxies, 2):
+        xds_fleet.proxies[f"p{number}"].leave()
+        xds_fleet.join(number)
+    xds_fleet.wait_until(lambda: False, 0.5)
+    xds_fleet.controller.receive_endpoint_list("partial", list(range(1, drained + 1)), "terminating")
+    assert xds_fleet.wait_until(lambda: not any(map(xds_fleet.uses, range(1, drained + 1))))
+    assert xds_fleet.core.channel.max_queued_lines <= deployment.max_lines()
