Let limits that fall pass a waiting ejection only together with one

Cause: since ejections wait for each other, limits that fall went before them whatever was left of the channel. They protect endpoints from the load that an ejection moves to them, so without an ejection in the message they are not as urgent. Now the message of such limits has room for the first ejection, which then pays no heads of its own. test_limits_that_fall_all_the_time_carry_ejections_with_them failed before.

--- a/quillstep/planner/admission_updates.py
+++ b/quillstep/planner/admission_updates.py
@@ -28,8 +28,8 @@
         """Writes the changed limits and retry policies that fit the channel.
 
         The classes of a table are published together; one by one, beside an urgent change, if together they never fit.
-        Only limits that fall precede urgent changes which do not fit beside them: ejections move load to other
-        endpoints, which the limits protect.
+        Only limits that fall precede urgent changes which do not all fit beside them, and with at least one of them:
+        ejections move load to other endpoints, which the limits protect.
 
         Args:
             now_ms: Time of the control interval.
@@ -49,7 +49,7 @@
                 too_long += changed
                 continue
             is_lowered = any(self._is_lowered(table, index) for _, index in changed)
-            lines = written.lines + table_lines + (0.0 if is_lowered else urgent.all)
+            lines = written.lines + table_lines + (urgent.first if is_lowered else urgent.all)
             if not users or (is_allowed and self.budget.fits_limit(fixed_lines + lines)):
                 self._write(changed, written, output)
             else:
--- a/tests/planner/test_drains.py
+++ b/tests/planner/test_drains.py
@@ -129,3 +129,21 @@
         fleet.step()
     assert not fleet.late_ms and not fleet.exceeds_limits()
     assert fleet.harness.fleet.all_proxies_have_calendar()
+
+
+def test_limits_that_fall_all_the_time_carry_ejections_with_them():
+    # Guards against limits that take the channel alone, pass after pass, while ejections wait.
+    deployment = Deployment(300, 40, 3000.0, queued_s=1.5, max_ack_delay_ms=500.0)
+    fleet = settled_drain_fleet(deployment)
+    calls = []
+    enqueue = fleet.channel.enqueue
+    fleet.channel.enqueue = lambda written: (calls.append({call[0] for call in written}), enqueue(written))
+    fleet.drain(*range(9))
+    for step in range(60):
+        fleet.limits = dict.fromkeys(range(3), 50.0 * 0.8 ** (1 + step // 5))
+        fleet.step()
+        if not any(state.awaits_ejection for state in fleet.harness.fleet.endpoints.values()) and step:
+            break
+    with_limits = [names for names in calls if "set_admission" in names]
+    assert with_limits and all("set_ejected" in names for names in with_limits)
+    assert not fleet.exceeds_limits()
