Compute subsets once for all proxies of a pass, and split the publishing of changes

Change: the usable endpoints of a table, and the lines of a subset, are computed once a pass, and how many proxies to move by arithmetic before any is moved. One pass of changes is a record of its own, one change a function.

--- a/quillstep/planner/assignment.py
+++ b/quillstep/planner/assignment.py
@@ -86,23 +86,26 @@
 
     def subset_message_lines(self) -> float:
         """Returns the lines of a message that assigns a subset, with its head and ack request."""
-        table_lines = [1 + len(table.classes) + self._subset_size(table) for table in self.fleet.tables]
-        shared_lines = sum(
-            lines for table, lines in zip(self.fleet.tables, table_lines, strict=True) if table.zone is None
-        )
-        zone_lines = [lines for table, lines in zip(self.fleet.tables, table_lines, strict=True) if table.zone]
-        return self.budget.lines_per_message + 1 + shared_lines + max(zone_lines, default=0)
+        shared_lines = zone_lines = 0
+        for table in self.fleet.tables:
+            lines = 1 + len(table.classes) + self._subset_size(table)
+            if table.zone is None:
+                shared_lines += lines
+            else:
+                zone_lines = max(zone_lines, lines)  # a proxy uses the table of one zone
+        return self.budget.lines_per_message + 1 + shared_lines + zone_lines
+
+    def _subset_size(self, table: CalendarTable) -> int:
+        """Returns how many endpoints the first subset of a table has."""
+        return len(self._subset_for(0, self._usable(self._published_endpoints(table), self.fleet.ejected_endpoints())))
 
     def has_subsets(self) -> bool:
         """Whether each calendar table lists an endpoint in service, so that subsets without the others exist."""
-        return all(self._subset_size(table, in_service_only=True) for table in self.fleet.tables)
-
-    def _subset_size(self, table: CalendarTable, in_service_only: bool = False) -> int:
-        """Returns how many endpoints a subset of a table has; those that `_subset_for` returns for the first proxy."""
-        published = self._published_endpoints(table)
-        if in_service_only:
-            published = [id_ for id_ in published if self.fleet.endpoints[id_].is_in_service]
-        return len(self._subset_for(0, published, self.fleet.ejected_endpoints()))
+        endpoints = self.fleet.endpoints.values()
+        return all(
+            any(state.is_in_service and state.published_slots.get(table.number) for state in endpoints)
+            for table in self.fleet.tables
+        )
 
     def _assign(
         self,
@@ -113,6 +116,8 @@
         may_fill_queue: bool = False,
     ) -> int:
         budget, ejected, messages = self.budget, self.fleet.ejected_endpoints(), 0
+        published = {table.number: self._published_endpoints(table) for table in self.fleet.tables}
+        usable = {number: self._usable(endpoints, ejected) for number, endpoints in published.items()}
         for number in proxies:
             if not may_fill_queue and not budget.has_capacity_for_assignment(expected_lines):
                 break
@@ -122,26 +127,21 @@
             for table in self.fleet.tables:
                 if table.zone not in (None, proxy.zone):
                     continue
-                endpoints = self._published_endpoints(table)
+                endpoints = published[table.number]
                 if is_calendar:
                     output.assign_table(number, table.number, table.classes)
                 else:
-                    endpoints = self._assign_subset(number, table, endpoints, ejected, output)
+                    endpoints = self._assign_subset(number, table, usable[table.number], output)
                 budget.written_lines += 1 + len(table.classes) + len(endpoints) + len(ejected.intersection(endpoints))
             budget.written_lines += budget.lines_per_message
             messages += 1
         return messages
 
     def _assign_subset(
-        self,
-        number: int,
-        table: CalendarTable,
-        published: list[EndpointId],
-        ejected: set[EndpointId],
-        output: PlannerOutput,
+        self, number: int, table: CalendarTable, usable: list[EndpointId], output: PlannerOutput
     ) -> list[EndpointId]:
         """Assigns a proxy a subset of one table, and returns the endpoints of the subset."""
-        subset = self._subset_for(number, published, ejected)
+        subset = self._subset_for(number, usable)
         subset_table = FIRST_SUBSET_TABLE + number * (1 + len(self.fleet.config.zones)) + table.number
         self._write_subset(subset_table, subset, table, output)
         if self.fleet.proxies[number].has_had_calendar:
@@ -155,11 +155,14 @@
     def _published_endpoints(self, table: CalendarTable) -> list[EndpointId]:
         return [id_ for id_, state in self.fleet.endpoints.items() if state.published_slots.get(table.number)]
 
-    def _subset_for(self, number: int, published: list[EndpointId], ejected: set[EndpointId]) -> list[EndpointId]:
-        """Returns every n-th usable endpoint of a calendar, from an offset that depends on the proxy's number."""
+    def _usable(self, published: list[EndpointId], ejected: set[EndpointId]) -> list[EndpointId]:
+        """Returns the endpoints of a calendar table that subsets are of: those in service, if there are any."""
         endpoints = self.fleet.endpoints
         usable = [id_ for id_ in published if id_ not in ejected]
-        usable = [id_ for id_ in usable if endpoints[id_].is_in_service] or usable
+        return [id_ for id_ in usable if endpoints[id_].is_in_service] or usable
+
+    def _subset_for(self, number: int, usable: list[EndpointId]) -> list[EndpointId]:
+        """Returns every n-th usable endpoint of a calendar, from an offset that depends on the proxy's number."""
         step = max(1, len(usable) // max(1, self.fleet.config.initial_table_size))
         return usable[number % step :: step]
 
--- a/quillstep/planner/drain_deadlines.py
+++ b/quillstep/planner/drain_deadlines.py
@@ -56,12 +56,8 @@
             self._is_moving = False
             return 0
         self._is_moving = True
-        moved = 0
-        for number in self._calendar_users():
-            if self._is_in_time(release, now_ms, moved) or not self._fits_subset():
-                break
-            moved += self.assigner.assign_subsets([number], output, may_fill_queue=True)
-        return moved
+        moved = self._proxies_to_move(release, now_ms)
+        return self.assigner.assign_subsets(self._calendar_users()[:moved], output, may_fill_queue=True)
 
     def _release(self, changes: Sequence[EndpointChange], audience: Audience) -> Release | None:
         """Returns the release that is due; None if nothing drains, or if proxies cannot be moved.
@@ -82,8 +78,9 @@
 
         The subsets of the proxies moved so far are queued, so the ejections would have to wait for them.
         """
-        is_subset_shorter = self.assigner.subset_message_lines() <= self._lines_per_proxy(release)
-        return self._is_moving and is_subset_shorter and not self._is_in_time(release, now_ms, 0)
+        subset_lines = self.assigner.subset_message_lines()
+        is_subset_shorter = subset_lines <= self._lines_per_proxy(release)
+        return self._is_moving and is_subset_shorter and not self._is_in_time(release, now_ms, 0, subset_lines)
 
     def _must_move(self, release: Release, now_ms: float) -> bool:
         """Whether the ejections alone would be late, and moving all proxies is faster by enough."""
@@ -97,15 +94,25 @@
         is_in_time = queued_ms + move_lines / rate <= release.deadline_ms
         return move_lines < eject_lines and (is_in_time or move_lines <= MAX_MOVE_COST_FRACTION * eject_lines)
 
-    def _is_in_time(self, release: Release, now_ms: float, moved: int) -> bool:
-        """Whether one message to each proxy that is left fits the channel, and takes effect within the grace.
+    def _proxies_to_move(self, release: Release, now_ms: float) -> int:
+        """Returns how many proxies to move: the fewest that let the others be told in time, or as many as fit."""
+        subset_lines = self.assigner.subset_message_lines()
+        for moved in range(release.audience.with_calendar):
+            if self._is_in_time(release, now_ms, moved, subset_lines):
+                return moved
+            if not self.budget.fits_limit((moved + 1) * subset_lines):
+                return moved
+        return release.audience.with_calendar
+
+    def _is_in_time(self, release: Release, now_ms: float, moved: int, subset_lines: float) -> bool:
+        """Whether one message to each proxy that is left fits behind the subsets, and takes effect within the grace.
 
         It may contain the limits of all classes besides the ejections.
         """
         with_calendar = release.audience.with_calendar
         others_lines = max(0.0, release.cost.total_lines - with_calendar * self._lines_per_proxy(release))
         lines_per_proxy = self._lines_per_proxy(release) + len(self.fleet.classes)
-        lines = others_lines + (with_calendar - moved) * lines_per_proxy
+        lines = moved * subset_lines + others_lines + (with_calendar - moved) * lines_per_proxy
         finished_ms = now_ms + (self.budget.unproven_lines + lines) / self.budget.rate_lines_per_ms
         return self.budget.fits_limit(lines) and finished_ms <= release.deadline_ms
 
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -5,6 +5,7 @@
 MIN_RELATIVE_CHANGE.
 """
 
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -43,6 +44,21 @@
     pending: int
 
 
+@dataclass(slots=True)
+class PublishingPass:
+    """The changes of endpoints that are written in one pass, and those that wait."""
+
+    now_ms: float
+    is_interval_due: bool
+    may_publish_others: bool  # changes that are not urgent
+    limits: ChangeLimits
+    written: WrittenUpdates
+    selected: set[EndpointId]  # endpoints whose urgent changes are published
+    held: set[EndpointId]  # endpoints whose urgent changes wait for the others
+    published: set[UpdateKind] = field(default_factory=set)
+    waiting: dict[EndpointId, UpdateKind] = field(default_factory=dict)
+
+
 class Publisher:
     """Publishes changes and assigns tables within the update budget.
 
@@ -210,31 +226,39 @@
             self.admission_updates.record_waiting(now_ms)
         selected = self.urgent.select(urgent, written, limits.max_urgent_lines)
         held = {change.endpoint for change in urgent} - selected
-        may_publish_others = may_publish_others and (not held or self.overdue.is_overdue(UpdateKind.URGENT, now_ms))
-        published: set[UpdateKind] = set()
-        waiting: dict[EndpointId, UpdateKind] = {}
+        may_publish_others &= not held or self.overdue.is_overdue(UpdateKind.URGENT, now_ms)
+        current = PublishingPass(now_ms, is_interval_due, may_publish_others, limits, written, selected, held)
         for change in due:
-            state = self.fleet.endpoints[change.endpoint]
-            precedence = self._precedence(change, published, now_ms)
-            for part in limits.parts_to_publish(change, state, written.lines, precedence):
-                cost = audience.line_cost(part, state)
-                precedence = self._precedence(change, published, now_ms)
-                is_urgent = change.kind is UpdateKind.URGENT
-                is_due = is_urgent or (may_publish_others and (is_interval_due or precedence is not Precedence.NONE))
-                may_publish = is_due and self.overdue.allows(change.kind) and change.endpoint not in held
-                is_selected = change.endpoint in selected
-                if cost and not (may_publish and (is_selected or limits.fits(part, state, written.lines, precedence))):
-                    waiting[change.endpoint] = change.kind
-                    break
-                written.add_change(part, state)
-                self._write_change(part, output)
-                if cost:
-                    published.add(change.kind)
-        self._record_changes(now_ms, published, waiting)
-        self._update_oversized(now_ms, [change for change in due if change.endpoint in waiting])
+            self._publish_change(change, current, output)
+        self._record_changes(now_ms, current.published, current.waiting)
+        self._update_oversized(now_ms, [change for change in due if change.endpoint in current.waiting])
         self.budget.written_lines += written.lines + self.budget.lines_per_message * written.messages
         return moved + written.messages
 
+    def _publish_change(self, change: EndpointChange, current: PublishingPass, output: PlannerOutput) -> None:
+        """Writes a change, or the parts of it that fit, unless it has to wait."""
+        state = self.fleet.endpoints[change.endpoint]
+        limits, written = current.limits, current.written
+        precedence = self._precedence(change, current.published, current.now_ms)
+        for part in limits.parts_to_publish(change, state, written.lines, precedence):
+            cost = limits.audience.line_cost(part, state)
+            precedence = self._precedence(change, current.published, current.now_ms)
+            fits = change.endpoint in current.selected or limits.fits(part, state, written.lines, precedence)
+            if cost and not (fits and self._may_publish(change, current, precedence)):
+                current.waiting[change.endpoint] = change.kind
+                return
+            written.add_change(part, state)
+            self._write_change(part, output)
+            if cost:
+                current.published.add(change.kind)
+
+    def _may_publish(self, change: EndpointChange, current: PublishingPass, precedence: Precedence) -> bool:
+        """Whether a change is due, and waits for no other."""
+        if change.kind is UpdateKind.URGENT:
+            return change.endpoint not in current.held
+        is_due = current.is_interval_due or precedence is not Precedence.NONE
+        return is_due and current.may_publish_others and self.overdue.allows(change.kind)
+
     def _whole_urgent_changes(self, due: list[EndpointChange], audience: Audience) -> list[EndpointChange]:
         """Returns the urgent changes that fit an empty channel; others are published in parts, or by subsets."""
         if audience.is_oversized:
