Leave room for a release, not only for one drain, behind ordinary changes

Cause: fits_before_drain asked whether one more order of the same size is in time behind a change, and so let 9,084 lines queue up before a release that needs 3 s of the channel itself. Now the lines with which any release can be kept in time, a subset for each proxy with the calendar, have to fit as well. test_a_release_right_behind_ordinary_changes_is_within_the_grace failed before in three of four cases.

--- a/quillstep/planner/change_limits.py
+++ b/quillstep/planner/change_limits.py
@@ -20,7 +20,10 @@
 class ChangeLimits:
     """Which changes of endpoints fit the channel in one pass."""
 
-    def __init__(self, budget: UpdateBudget, audience: Audience, max_urgent_lines: float) -> None:
+    def __init__(
+        self, budget: UpdateBudget, audience: Audience, max_urgent_lines: float, release_lines: float = 0.0
+    ) -> None:
+        self.release_lines = release_lines
         self.budget, self.audience, self.max_urgent_lines = budget, audience, max_urgent_lines
         self.head_lines = budget.lines_per_message * audience.reachable
         self.fixed_lines = self.head_lines + audience.reachable  # heads and ack requests
@@ -58,7 +61,7 @@
             return self.budget.queued_lines + self.head_lines + written_lines + lines <= self.max_urgent_lines
         if precedence is Precedence.FIRST_OF_KIND:
             return True
-        update = OrdinaryUpdate(lines, self.head_lines, written_lines)
+        update = OrdinaryUpdate(lines, self.head_lines, written_lines, self.release_lines)
         if precedence is Precedence.OVERDUE and self.budget.fits_before_drain(update):
             return True
         proxies_pending = self.audience.with_calendar != self.audience.joined
--- a/quillstep/planner/drain_deadlines.py
+++ b/quillstep/planner/drain_deadlines.py
@@ -59,6 +59,12 @@
         moved = self._proxies_to_move(release, now_ms)
         return self.assigner.assign_subsets(self._calendar_users()[:moved], output, may_fill_queue=True)
 
+    def release_lines(self, audience: Audience) -> float:
+        """Returns the lines of subsets for all proxies with the calendar, with which any release is kept in time."""
+        if self.fleet.ejections_reach_all or audience.is_oversized:
+            return 0.0
+        return audience.with_calendar * self.assigner.subset_message_lines()
+
     def _release(self, changes: Sequence[EndpointChange], audience: Audience) -> Release | None:
         """Returns the release that is due; None if nothing drains, or if proxies cannot be moved.
 
--- a/quillstep/planner/publishing.py
+++ b/quillstep/planner/publishing.py
@@ -212,13 +212,14 @@
         due = sorted(
             self.changes.due(now_ms, audience.is_oversized), key=lambda change: self._publishing_order(change, now_ms)
         )
-        limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending))
+        release_lines = self.drain_deadlines.release_lines(audience)
+        limits = ChangeLimits(self.budget, audience, self.budget.max_urgent_lines(subsets_pending), release_lines)
         urgent = self._whole_urgent_changes(due, audience)
         moved = self.drain_deadlines.move_proxies(urgent, audience, now_ms, output)
         if moved:
             audience = Audience.of(self.fleet)
             written = WrittenUpdates(audience)
-            limits = ChangeLimits(self.budget, audience, limits.max_urgent_lines)
+            limits = ChangeLimits(self.budget, audience, limits.max_urgent_lines, limits.release_lines)
         if may_publish_others:
             urgent_lines = self._urgent_lines(due, urgent, audience)
             self.admission_updates.publish(now_ms, written, self._fixed_lines(), urgent_lines, output)
--- a/quillstep/planner/update_budget.py
+++ b/quillstep/planner/update_budget.py
@@ -48,6 +48,7 @@
     lines: float  # of the change
     head_lines: float  # of its messages
     written_lines: float  # changes written before it in the same messages
+    release_lines: float = 0.0  # the lines with which any release can be kept in time behind it
 
     @property
     def least_lines(self) -> float:
@@ -195,9 +196,10 @@
         return not proxies_pending and self.fits_before_drain(change)
 
     def fits_before_drain(self, change: OrdinaryUpdate) -> bool:
-        """Whether a drain of the same size behind a change still takes effect within its grace."""
+        """Whether a drain of the same size behind a change, and any release, still takes effect within its grace."""
         queued_lines = self.unproven_lines + change.written_lines + change.least_lines
-        return queued_lines + change.least_lines + self.update_delay_lines <= self.drain_grace_lines
+        drain_lines = max(change.least_lines, change.release_lines)
+        return queued_lines + drain_lines + self.update_delay_lines <= self.drain_grace_lines
 
     def limit_awaited_acks(self, messages: int) -> None:
         """Awaits acks of the last update from no more proxies than it became messages; counts no lines without any."""
--- a/tests/planner/test_drains.py
+++ b/tests/planner/test_drains.py
@@ -147,3 +147,14 @@
     with_limits = [names for names in calls if "set_admission" in names]
     assert with_limits and all("set_ejected" in names for names in with_limits)
     assert not fleet.exceeds_limits()
+
+
+@pytest.mark.parametrize("after_s", [4.1, 4.5, 5.2, 6.0])
+def test_a_release_right_behind_ordinary_changes_is_within_the_grace(after_s):
+    # Guards against ordinary changes that leave room for the drain of one endpoint behind them, but for no release.
+    fleet = settled_drain_fleet(Deployment(440, 30, 3200.0, 4.3, drain_grace_ms=4000.0, max_ack_delay_ms=280.0))
+    fleet.competing = {"weights"}
+    fleet.play(after_s)
+    fleet.drain(*range(5, 21))
+    fleet.play(7.0)
+    assert not fleet.late_ms and not fleet.exceeds_limits()
