Remove an unused method, and name the lines of urgent changes plainly

Need: read once more: a method of DrainDeadlines that nothing calls, an attribute set twice, a field named like a built-in. Change: these three. No decision changes; golden dialogues identical, tests of assignment and publishing pass.

--- a/quillstep/planner/admission_updates.py
+++ b/quillstep/planner/admission_updates.py
@@ -49,7 +49,7 @@
                 too_long += changed
                 continue
             is_lowered = any(self._is_lowered(table, index) for _, index in changed)
-            lines = written.lines + table_lines + (urgent.first if is_lowered else urgent.all)
+            lines = written.lines + table_lines + (urgent.first if is_lowered else urgent.total)
             if not users or (is_allowed and self.budget.fits_limit(fixed_lines + lines)):
                 self._write(changed, written, output)
             else:
--- a/quillstep/planner/drain_deadlines.py
+++ b/quillstep/planner/drain_deadlines.py
@@ -34,8 +34,7 @@
 
     def __init__(self, fleet: FleetState, budget: UpdateBudget, assigner: TableAssigner, urgent: UrgentUpdates) -> None:
         self.fleet, self.budget, self.assigner, self.urgent = fleet, budget, assigner, urgent
-        self._is_moving = False  # since the last pass in which no release had to be
-        self._is_moving = False
+        self._is_moving = False  # whether the last pass moved proxies, or had to
 
     def move_proxies(
         self, changes: Sequence[EndpointChange], audience: Audience, now_ms: float, output: PlannerOutput
@@ -126,9 +125,6 @@
         """Returns the lines of one message with all ejections, its head and an ack request."""
         return len(release.changes) + self.budget.lines_per_message + 1
 
-    def _fits_subset(self) -> bool:
-        return self.budget.fits_limit(self.assigner.subset_message_lines())
-
     def _calendar_users(self) -> list[int]:
         """Returns the proxies with the calendar, those with the fewest requests first."""
         proxies = self.fleet.proxies
--- a/quillstep/planner/urgent_updates.py
+++ b/quillstep/planner/urgent_updates.py
@@ -35,7 +35,7 @@
     """The lines of the urgent changes that are due, over all proxies and without message heads."""
 
     first: float  # of the first change
-    all: float
+    total: float
 
 
 class UrgentUpdates:
